--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,796 @@
+// All decisions of walkpaddle. The interface stands in brain.h: a host sets the parts up, feeds inputs,
+// which only update what is known, and then pulls next() until it is empty.
+// The design (docs/design.md): reference counters decide whether a fill is kept; hash order picks the edge
+// cache and the parent. Beside it stand six mechanisms:
+//   1 limits in flight, grown by one and cut by a share     4 further hops, by what an outcome proves
+//   2 health by symptom: failing, silent, trial returns      5 age limits while a purge settles
+//   3 cold budgets for fresh caches and parents              6 early ends: hold briefly, else reject
+#include "brain.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+namespace walkpaddle {
+
+namespace {
+
+constexpr Sec kNever = 1e15;
+constexpr double kThreshold = 1;  // the design's forwarding threshold: kept from the second txn on
+constexpr int kMiddleRank = 2;
+
+// One step of splitmix64: spreads a member's hash against an object's, the same at every router.
+std::uint64_t mix(std::uint64_t x) {
+  x += 0x9e3779b97f4a7c15u;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+  return x ^ (x >> 31);
+}
+
+// The design's reference counters, with what else is remembered of an object: who lately hit, and how many
+// of its txns ended without an answer and may come again.
+class Counts {
+ public:
+  struct Entry {
+    std::uint64_t object = 0;
+    float count = 0;
+    int sib = -1;
+    Sec sib_at = -kNever;
+    int owed = 0;
+    Sec owed_at = -kNever;
+    Sec used = -kNever;
+  };
+  // A set of four that is full gives up its lowest count, of equals the one longest unused.
+  Entry& at(std::uint64_t object, Sec now) {
+    auto* set = &table_[(object >> 20) % kSets * kWays];
+    auto* worst = set;
+    for (auto* e = set; e != set + kWays; ++e) {
+      if (e->object == object) {
+        worst = e;
+        break;
+      }
+      if (std::pair(e->count, e->used) < std::pair(worst->count, worst->used)) worst = e;
+    }
+    if (worst->object != object) *worst = {.object = object};
+    worst->used = now;
+    return *worst;
+  }
+  void halve() {
+    for (auto& e : table_) e.count /= 2;
+  }
+
+ private:
+  static constexpr std::size_t kSets = 4096,
+                               kWays = 4;  // some minutes of objects at a few hundred txns a second
+  std::vector<Entry> table_ = std::vector<Entry>(kSets * kWays);
+};
+
+// Mechanism 1. Guards against crowding of any cause: slots, links, fill places.
+struct Limit {
+  double cap = 16;  // a small machine's work; grows or is cut within a second or two
+  double used = 0;
+  Sec cut_at = -kNever;
+  bool room(double weight) const { return used <= 0 || used + weight <= cap; }
+  double fullness() const { return used / cap; }
+  void good() {
+    if (used > cap / 2) cap += 1 / cap;
+  }
+  void cut(Sec now) {
+    constexpr Sec kPause = 0.3;  // one cut for one crowding: about an answer's time
+    if (now - cut_at < kPause) return;
+    cut_at = now;
+    cap = std::max(2.0, cap * 0.7);
+  }
+};
+
+// Mechanism 3's figures for one kind of member.
+struct ColdRule {
+  double from = 1, multiple = 1;
+  Sec warm_after = 0;
+  double share(Sec age) const {
+    return warm_after <= 0 ? 1 : std::min(1.0, from + (1 - from) * std::max(0.0, age) / warm_after);
+  }
+};
+
+enum class Role { cache, par, origin };
+
+struct Member {
+  std::uint64_t hash = 0;
+  int location = -1, kind = -1, cell = -1;
+  Role role = Role::cache;
+  bool listed = false, ready = false, seen = false, named = false;
+  double weight = 1;
+  Sec started = -kNever;
+  // health
+  double failing = 0;
+  Sec aside_until = -kNever, hold = 0;
+  int trial = 0, out = 0;
+  Sec heard = -kNever, busy_since = 0;
+  double gap = 0.1;
+  // load
+  Limit hops, fills;
+  double spent = 0, served = 0, fair = 0;
+  Sec spent_at = 0, served_at = 0;
+};
+
+struct Hop {
+  int member = -1, source = -1;
+  bool out = true, failed = false, moving = false, fill = false, held_only = false;
+  Sec sent = 0;
+  double weight = 0;
+};
+
+struct Txn {
+  bool live = false, keep = false, queued = false, repeat = false;
+  int rule = 0, part = 0, out = 0, turned_away = 0;
+  std::uint64_t object = 0;
+  std::uint32_t group = 0;
+  double kbytes = 0;
+  Sec taken = 0, expires = 0, may_have_run = kNever;
+  int ran_at = -1;
+  std::vector<Hop> hops{};
+};
+
+bool proves_not_run(Verdict v) {
+  return v == Verdict::not_taken || v == Verdict::no_connection || v == Verdict::not_sent ||
+         v == Verdict::lacking;
+}
+
+}  // namespace
+
+struct Brain::Mind {
+  explicit Mind(std::uint32_t seed) : chance(seed) {}
+
+  std::mt19937 chance;
+  Sec now = 0, woken_for = kNever, tick_at = 0, halve_at = 0;
+  int here = 0, seats = 1, routers = 1, par_kind = -1, origin_kind = -1, most_hops = 1;
+  bool direct = false, second_copies = false, can_call_off = false, can_probe = false, joins = false;
+  bool marks_repeats = false;
+  Siblings siblings = Siblings::none;
+  Notes notes = Notes::none;
+  double pace = 0;
+  Sec cold_window = 1, settles = 0, longest_pause = 0;
+  ColdRule cold_cache, cold_par;
+  std::vector<Value> report_names;
+  std::vector<RemapRule> rules;
+  std::vector<double> mean_work;  // by rule: the mean sending time seen, seconds
+
+  Counts counts;
+  std::vector<Member> members;
+  std::vector<Txn> txns;
+  std::set<std::pair<Sec, int>> due;  // txns that wait
+  std::vector<int> ready;             // txns that want a decision
+  std::vector<Decision> said;
+  std::size_t said_from = 0;
+  std::map<std::uint64_t, Sec> purged_objects, purged_groups;
+  Sec purged_all = -kNever;
+
+  // ---- the list ----------------------------------------------------------------------------------------
+
+  Member& member(int m) {
+    if (m >= static_cast<int>(members.size())) members.resize(m + 1);
+    return members[m];
+  }
+
+  void list_member(int m, std::uint64_t hash, int location, int kind, int cell, Listed state, double weight,
+                   Sec started) {
+    auto& x = member(m);
+    const bool returns = x.seen && !x.listed;
+    x.hash = hash;
+    x.location = location;
+    x.kind = kind;
+    x.cell = cell;
+    x.role = kind == origin_kind ? Role::origin : kind == par_kind && par_kind >= 0 ? Role::par : Role::cache;
+    x.weight = weight > 0 ? weight : 1;
+    x.ready = state == Listed::ready;
+    if (state == Listed::gone) {
+      x.listed = false;
+      return;
+    }
+    x.listed = x.seen = x.named = true;
+    if (started > 0 && started > x.started + 1e-3) {
+      x.started = started;
+      begin_afresh(x);
+    } else if (returns && now - x.started > rule_of(x).warm_after) {
+      x.started = now;  // back from being gone with no new start told: taken as fresh
+      begin_afresh(x);
+    }
+  }
+
+  void begin_afresh(Member& x) {
+    if (now - x.started >= rule_of(x).warm_after) return;
+    constexpr double kFirst = 2;  // a fresh member's cap; grows with its answers
+    x.hops.cap = x.fills.cap = kFirst;
+    x.failing = x.hold = 0;
+    x.trial = 0;
+    x.aside_until = -kNever;
+  }
+
+  const ColdRule& rule_of(const Member& x) const { return x.role == Role::par ? cold_par : cold_cache; }
+  bool is_cold(const Member& x) const {
+    return x.role != Role::origin && now - x.started < rule_of(x).warm_after;
+  }
+
+  // ---- health (mechanism 2) ----------------------------------------------------------------------------
+
+  // Guards against members that are dead, cut off, frozen or failing, whatever the cause. Could harm when a
+  // member is only slow: then it is tried again after the hold, one hop at a time.
+  void set_aside(Member& x) {
+    constexpr Sec kFirst = 0.5, kMost = 4;  // from about a client's patience for one hop to a restart's time
+    x.hold = std::clamp(x.hold * 2, kFirst, kMost);
+    x.aside_until = now + x.hold;
+    x.trial = 3;
+  }
+
+  void went_wrong(int m, bool hard) {
+    auto& x = members[m];
+    x.failing += (1 - x.failing) * 0.2;
+    if (hard || x.failing > 0.4 || x.trial > 0) {
+      if (now >= x.aside_until) set_aside(x);
+    }
+  }
+
+  void went_well(int m) {
+    auto& x = members[m];
+    x.failing *= 0.8;
+    if (x.trial > 0 && now >= x.aside_until && --x.trial == 0) x.hold = 0;
+  }
+
+  void heard_from(int m) {
+    auto& x = members[m];
+    if (x.heard > 0) x.gap += (std::min(1.0, now - std::max(x.heard, x.busy_since)) - x.gap) * 0.1;
+    x.heard = now;
+  }
+
+  bool usable(const Member& x) const {
+    if (!x.listed || !x.ready || now < x.aside_until) return false;
+    return x.trial == 0 || x.out == 0;
+  }
+
+  // A member with several hops out and no answer for many times its usual gap is taken as silent; the hops
+  // that wait there are moved.
+  void look_for_silence() {
+    std::vector<int> waiting(members.size());
+    const auto patience = [&](const Member& x) { return std::clamp(8 * x.gap, 0.6, 3.0); };
+    const auto stuck = [&](const Hop& h) -> int {
+      const auto& c = members[h.member];
+      if (now - std::max({c.heard, c.busy_since, h.sent}) > patience(c)) return h.member;
+      if (h.source < 0 || h.source == h.member) return -1;
+      const auto& s = members[h.source];
+      return h.fill && now - std::max({s.heard, s.busy_since, h.sent}) > patience(s) ? h.source : -1;
+    };
+    for (const auto& t : txns)
+      for (const auto& h : t.hops)
+        if (h.out)
+          if (const int m = stuck(h); m >= 0) ++waiting[m];
+    for (std::size_t m = 0; m < members.size(); ++m)
+      if (waiting[m] >= 2 && now >= members[m].aside_until) set_aside(members[m]);
+    if (!can_call_off) return;
+    for (std::size_t i = 0; i < txns.size(); ++i) {
+      auto& t = txns[i];
+      if (!t.live || rules[t.rule].effect != Effect::repeatable) continue;
+      for (std::size_t n = 0; n < t.hops.size(); ++n) {
+        auto& h = t.hops[n];
+        if (!h.out || h.moving) continue;
+        const int m = stuck(h);
+        if (m < 0 || now >= members[m].aside_until) continue;
+        h.moving = true;
+        say({.kind = Decision::Kind::call_off, .txn = static_cast<int>(i), .hop = static_cast<int>(n)});
+      }
+    }
+  }
+
+  // ---- cold budgets (mechanism 3) ----------------------------------------------------------------------
+
+  // Each router spends by itself: its own fair rate, seen at warm members, stands for its part of one
+  // member's capacity, so all together keep inside the stated multiple without knowing of each other.
+  double cold_rate(const Member& x) const {
+    double fair = 0.25;  // a quarter of one transfer at full pace: less than any machine's part
+    for (const auto& y : members)
+      if (y.role == x.role && y.fair > 0) fair = std::max(fair, y.fair * x.weight / y.weight);
+    const auto& rule = rule_of(x);
+    return 0.6 * rule.multiple * rule.share(now - x.started) * fair;
+  }
+  bool cold_room(const Member& x, double work) const {
+    if (!is_cold(x)) return true;
+    const double rate = cold_rate(x);
+    const double spent = std::max(0.0, x.spent - rate * (now - x.spent_at));
+    return spent <= 0 || spent + work <= rate * cold_window / 2;
+  }
+  void spend(Member& x, double work) {
+    if (!is_cold(x)) return;
+    x.spent = std::max(0.0, x.spent - cold_rate(x) * (now - x.spent_at)) + work;
+    x.spent_at = now;
+  }
+  void served(Member& x, double work) {
+    constexpr Sec kOver = 2;  // the rate is smoothed over about the windows of the rule
+    x.served = x.served * std::exp(-(now - x.served_at) / kOver) + work / kOver;
+    x.served_at = now;
+    if (!is_cold(x)) x.fair = std::max(x.fair * 0.9998, x.served);
+  }
+
+  // ---- purges (mechanism 5) ----------------------------------------------------------------------------
+
+  static constexpr std::size_t kMostPurges = 4096;
+
+  void note_purge(std::map<std::uint64_t, Sec>& table, std::uint64_t what, Sec ago) {
+    auto& at = table.try_emplace(what, -kNever).first->second;
+    at = std::max(at, now - ago);
+    if (table.size() <= kMostPurges) return;
+    for (const auto& [other, when] : table) purged_all = std::max(purged_all, when);  // stricter, never laxer
+    table.clear();
+  }
+  void forget_purges(std::map<std::uint64_t, Sec>& table) {
+    std::erase_if(table, [&](const auto& p) { return now - p.second > settles + 1; });
+  }
+  // The oldest copy that will do: 0 for the rule's fresh time, never 0 while a purge settles.
+  Sec age_limit(const Txn& t, bool old_will_do) const {
+    const auto& r = rules[t.rule];
+    Sec purge = purged_all;
+    if (const auto it = purged_objects.find(t.object); it != purged_objects.end())
+      purge = std::max(purge, it->second);
+    if (const auto it = purged_groups.find(t.group); it != purged_groups.end())
+      purge = std::max(purge, it->second);
+    const Sec fresh = r.fresh > 0 && old_will_do ? r.fresh + r.grace : 0;
+    if (now - purge > settles + 1) return fresh;
+    const Sec limit = std::max(0.001, now - purge - 0.005);  // less the ticks between telling and sending
+    const Sec most = fresh > 0 ? fresh : r.fresh;
+    return most > 0 ? std::min(most, limit) : limit;
+  }
+
+  // ---- picking -----------------------------------------------------------------------------------------
+
+  // Members of a role in the hash order of an object.
+  std::vector<int> order(std::uint64_t object, Role role) const {
+    std::vector<std::pair<std::uint64_t, int>> ranked;
+    for (std::size_t m = 0; m < members.size(); ++m) {
+      const auto& x = members[m];
+      if (!x.listed || x.role != role || (role == Role::cache && x.location != here)) continue;
+      ranked.emplace_back(mix(object ^ mix(x.hash)), static_cast<int>(m));
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<int> all;
+    for (const auto& [score, m] : ranked) all.push_back(m);
+    return all;
+  }
+
+  static bool failed_at(const Txn& t, int m) {
+    return std::any_of(t.hops.begin(), t.hops.end(), [&](const Hop& h) { return h.failed && h.member == m; });
+  }
+  static bool failed_from(const Txn& t, int m) {
+    return std::any_of(t.hops.begin(), t.hops.end(), [&](const Hop& h) { return h.failed && h.source == m; });
+  }
+
+  double work_of(const Txn& t) const {
+    return t.kbytes > 0 && pace > 0 ? t.kbytes / pace : mean_work[t.rule];
+  }
+  double fill_weight(const Txn& t) const {
+    return t.kbytes > 0 && pace > 0 && mean_work[t.rule] > 0 ? work_of(t) / mean_work[t.rule] : 1;
+  }
+
+  // The first in order that is usable, has room and has not failed this txn; if only bounds stand in the
+  // way, the least full one.
+  int first_of(const std::vector<int>& all, const std::function<bool(int)>& fit,
+               const std::function<double(int)>& full) {
+    int least = -1;
+    for (const int m : all) {
+      if (!usable(members[m]) || !fit(m)) continue;
+      if (full(m) < 1) return m;
+      if (least < 0 || full(m) < full(least)) least = m;
+    }
+    return least;
+  }
+
+  int pick_source(const Txn& t, bool allow_origin) {
+    const double w = fill_weight(t), work = work_of(t);
+    const auto fit = [&](int m) { return !failed_from(t, m) && cold_room(members[m], work); };
+    const auto full = [&](int m) { return members[m].fills.room(w) ? 0.0 : members[m].fills.fullness() + 1; };
+    const int par = first_of(order(t.object, Role::par), fit, full);
+    if (par >= 0 || !allow_origin) return par;
+    return first_of(
+        order(t.object, Role::origin), [](int) { return true; }, full);
+  }
+
+  struct Place {
+    int member = -1, source = -1;
+    bool held_only = false;
+  };
+
+  Place pick(Txn& t) {
+    Place p;
+    const double work = work_of(t), w = fill_weight(t);
+    const auto& e = counts.at(t.object, now);
+    const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
+    p.member = first_of(
+        order(t.object, Role::cache), [&](int m) { return !failed_at(t, m) && cold_room(members[m], work); },
+        [&](int m) {
+          const auto& x = members[m];
+          const bool fill = !(sib_known && e.sib == m);
+          return x.hops.room(1) && (!fill || x.fills.room(w))
+                     ? 0.0
+                     : std::max(x.hops.fullness(), x.fills.fullness()) + 1;
+        });
+    if (p.member >= 0) {
+      if (!t.keep && siblings != Siblings::none && sib_known && e.sib != p.member && usable(members[e.sib]) &&
+          !failed_from(t, e.sib) && cold_room(members[e.sib], work)) {
+        p.source = e.sib;
+        p.held_only = true;
+        return p;
+      }
+      p.source = pick_source(t, true);
+      if (p.source >= 0) return p;
+    }
+    if (!direct) return {};
+    p.member = p.source = pick_source(t, true);
+    return p;
+  }
+
+  // An uncacheable rule goes straight to the origin, or through a cache where parents and origin take no
+  // hops.
+  Place pass(const Txn& t) {
+    const auto any = [](int) { return true; };
+    const int origin = first_of(order(t.object, Role::origin), any, [](int) { return 0.0; });
+    if (origin < 0) return {};
+    if (direct) return {origin, origin, false};
+    const int cache = first_of(
+        order(t.object, Role::cache),
+        [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); },
+        [](int) { return 0.0; });
+    return {cache, cache < 0 ? -1 : origin, false};
+  }
+
+  // ---- txns --------------------------------------------------------------------------------------------
+
+  void say(Decision d) { said.push_back(std::move(d)); }
+
+  void want(int i) {
+    auto& t = txns[i];
+    if (!t.live || t.queued) return;
+    t.queued = true;
+    ready.push_back(i);
+  }
+
+  // What the rule of effects allows now.
+  bool may_hop_again(const Txn& t) const {
+    const auto& r = rules[t.rule];
+    if (t.may_have_run >= kNever || r.effect == Effect::repeatable) return true;
+    if (r.effect == Effect::unrepeatable) return false;
+    return now - t.may_have_run < r.window - 0.05;
+  }
+  bool repeat_dropped_at(const Txn& t, int m) const {
+    const auto& r = rules[t.rule];
+    if (r.effect != Effect::keyed || t.may_have_run >= kNever || r.group == Group::all) return true;
+    const auto& first = members[t.ran_at];
+    return r.group == Group::location ? first.location == members[m].location : first.cell == members[m].cell;
+  }
+  bool may_reject(const Txn& t) const {
+    const auto& r = rules[t.rule];
+    return t.may_have_run >= kNever || r.effect == Effect::repeatable ||
+           (r.effect == Effect::keyed && r.group == Group::all);
+  }
+
+  void finish(Txn& t) {
+    t.live = false;
+    t.queued = false;
+  }
+
+  void give_up(int i) {
+    auto& t = txns[i];
+    if (!rules[t.rule].uncacheable) {
+      auto& e = counts.at(t.object, now);
+      e.owed = std::min(e.owed + 1, 20);
+      e.owed_at = now;
+    }
+    const Sec pause = std::min(longest_pause, 0.25);
+    say({.kind = may_reject(t) ? Decision::Kind::reject : Decision::Kind::abort, .txn = i, .time = pause});
+    finish(t);
+  }
+
+  void hold(int i, Sec wait) {
+    auto& t = txns[i];
+    due.insert({std::min(now + wait, t.expires - 0.01), i});
+  }
+
+  void decide(int i) {
+    auto& t = txns[i];
+    t.queued = false;
+    if (!t.live || t.out > 0) return;
+    const auto& r = rules[t.rule];
+    constexpr Sec kLast = 0.015;  // no hop ends well in less
+    if (now > t.expires - kLast || static_cast<int>(t.hops.size()) >= most_hops || !may_hop_again(t))
+      return give_up(i);
+    const Place p = r.uncacheable ? pass(t) : pick(t);
+    if (p.member < 0 || !repeat_dropped_at(t, p.member)) {
+      if (now - t.taken > r.sla_time) return give_up(i);
+      return hold(i, 0.03);
+    }
+    send(i, p);
+  }
+
+  void send(int i, const Place& p) {
+    auto& t = txns[i];
+    const auto& r = rules[t.rule];
+    const auto& e = counts.at(t.object, now);
+    const double work = work_of(t);
+    Hop h{.member = p.member,
+          .source = p.source,
+          .held_only = p.held_only,
+          .sent = now,
+          .weight = fill_weight(t)};
+    auto& x = members[p.member];
+    h.fill = p.source != p.member && !(e.sib == p.member && now - e.sib_at < 10);
+    if (x.out++ == 0) x.busy_since = now;
+    x.hops.used += 1;
+    if (x.role != Role::cache) x.fills.used += h.weight;
+    spend(x, work);
+    if (p.source >= 0 && p.source != p.member) {
+      auto& s = members[p.source];
+      if (h.fill) {
+        if (s.out++ == 0) s.busy_since = now;
+        s.fills.used += h.weight;
+        x.fills.used += h.weight;
+      }
+      spend(s, work);
+    }
+    Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
+    d.rank = t.keep && x.role == Role::cache && !r.uncacheable ? kMiddleRank : 0;
+    d.join = joins && !r.uncacheable;
+    d.held_only = p.held_only;
+    if (!r.uncacheable) d.age = age_limit(t, false);
+    if (x.trial > 0 && r.effect == Effect::repeatable) d.time = r.sla_time + r.sla_stretch * work;
+    t.hops.push_back(h);
+    ++t.out;
+    say(std::move(d));
+  }
+
+  void txn_taken(int i, int rule, std::uint64_t object, int part, std::uint32_t group, double kbytes,
+                 Sec expires, bool repeat) {
+    if (i >= static_cast<int>(txns.size())) txns.resize(i + 1);
+    auto& t = txns[i];
+    t = Txn{.live = true,
+            .repeat = repeat,
+            .rule = rule,
+            .part = part,
+            .object = object,
+            .group = group,
+            .kbytes = kbytes,
+            .taken = now,
+            .expires = expires};
+    if (kbytes > 0 && pace > 0) mean_work[rule] += (kbytes / pace - mean_work[rule]) * 0.02;
+    if (!rules[rule].uncacheable) {
+      auto& e = counts.at(object, now);
+      const bool again = repeat || (!marks_repeats && e.owed > 0 && now - e.owed_at < 2);
+      if (again && e.owed > 0) --e.owed;
+      if (!again && part == 0) e.count += 1;
+      t.keep = e.count > kThreshold;
+    }
+    want(i);
+  }
+
+  void release(Txn& t, Hop& h) {
+    h.out = false;
+    --t.out;
+    auto& x = members[h.member];
+    --x.out;
+    x.hops.used -= 1;
+    if (x.role != Role::cache) x.fills.used -= h.weight;
+    if (h.fill) {
+      --members[h.source].out;
+      members[h.source].fills.used -= h.weight;
+      x.fills.used -= h.weight;
+    }
+  }
+
+  void hop_ended(int i, int n, Verdict v, Note note, Sec took, bool over) {
+    auto& t = txns[i];
+    if (n < 0 || n >= static_cast<int>(t.hops.size()) || !t.hops[n].out) return;
+    auto& h = t.hops[n];
+    release(t, h);
+    const auto& r = rules[t.rule];
+    auto& x = members[h.member];
+    const bool other_source = h.source >= 0 && h.source != h.member;
+    const double work = work_of(t);
+    if (v != Verdict::timed_out && v != Verdict::no_connection && v != Verdict::called_off &&
+        v != Verdict::not_sent)
+      heard_from(h.member);
+    if (other_source && (v == Verdict::completed ? note != Note::hit && note != Note::old_copy
+                                                 : note >= Note::source_refused))
+      if (note != Note::source_unreached && note != Note::no_fill_place) heard_from(h.source);
+    if (v == Verdict::completed) {
+      if (x.trial > 0 && x.role == Role::cache) x.hops.cap = std::max(2.0, x.hops.cap);
+      if (is_cold(x)) x.hops.cap += 0.25, x.fills.cap += 0.25;  // a fresh cap grows with its answers
+      went_well(h.member);
+      served(x, work);
+      x.hops.good();
+      const bool was_hit = note == Note::hit || note == Note::old_copy;
+      if (was_hit && (t.kbytes <= 0 || pace <= 0)) mean_work[t.rule] += (took - mean_work[t.rule]) * 0.02;
+      if (other_source && !was_hit) {
+        went_well(h.source);
+        auto& s = members[h.source];
+        served(s, work);
+        s.fills.good();
+        x.fills.good();
+        if (is_cold(s)) s.fills.cap += 0.25;
+      }
+      if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) {
+        auto& e = counts.at(t.object, now);
+        e.sib = h.member;
+        e.sib_at = now;
+      }
+    } else if (v != Verdict::called_off && v != Verdict::not_sent) {
+      h.failed = true;
+      blame(t, h, v, note);
+    } else if (h.moving) {
+      h.failed = true;
+    }
+    if (!proves_not_run(v) && v != Verdict::completed && t.may_have_run >= kNever) {
+      t.may_have_run = h.sent;
+      t.ran_at = h.member;
+    }
+    if (over) finish(t);
+    if (!t.live) return;
+    if (v == Verdict::not_taken && r.uncacheable) {
+      // The origin turned it away: again after a growing pause, while the client waits.
+      return hold(i, 0.05 * (1 << std::min(4, t.turned_away++)));
+    }
+    want(i);
+  }
+
+  // Whose fault a failed hop is, by what its outcome and note prove.
+  void blame(Txn& t, Hop& h, Verdict v, Note note) {
+    auto& x = members[h.member];
+    const bool other_source = h.source >= 0 && h.source != h.member;
+    switch (note) {
+      case Note::source_lacks:
+        if (auto& e = counts.at(t.object, now); e.sib == h.source) e.sib = -1;
+        return;
+      case Note::source_refused:
+        if (other_source) members[h.source].fills.cut(now);
+        return;
+      case Note::source_unreached:
+        if (other_source) went_wrong(h.source, false);
+        h.failed = true;
+        return;
+      case Note::no_fill_place:
+        x.fills.cut(now);
+        return;
+      case Note::origin_failed:
+        return;
+      default:
+        break;
+    }
+    if (v == Verdict::lacking) {
+      if (h.held_only) {
+        if (auto& e = counts.at(t.object, now); e.sib == h.source) e.sib = -1;
+      }
+      return;
+    }
+    if (v == Verdict::not_taken) {
+      if (other_source && notes != Notes::all)
+        members[h.source].fills.cut(now);
+      else
+        x.hops.cut(now), x.fills.cut(now);
+      return;
+    }
+    if (v == Verdict::timed_out && now > t.expires - 0.02) {
+      x.hops.cut(now);
+      return;
+    }
+    went_wrong(h.member, v != Verdict::error);
+  }
+
+  // ---- the host's pulls --------------------------------------------------------------------------------
+
+  void tick() {
+    constexpr Sec kTick = 0.05, kHalving = 30;  // a tick well under any patience; the design's halving
+    tick_at = now + kTick;
+    if (now >= halve_at) {
+      if (halve_at > 0) counts.halve();
+      halve_at = now + kHalving;
+    }
+    forget_purges(purged_objects);
+    forget_purges(purged_groups);
+    look_for_silence();
+  }
+
+  std::optional<Decision> next() {
+    if (said_from < said.size()) return said[said_from++];
+    said.clear();
+    said_from = 0;
+    if (now >= tick_at) tick();
+    while (!due.empty() && due.begin()->first <= now) {
+      const int i = due.begin()->second;
+      due.erase(due.begin());
+      want(i);
+    }
+    for (std::size_t n = 0; n < ready.size(); ++n) decide(ready[n]);
+    ready.clear();
+    const Sec next_due = due.empty() ? tick_at : std::min(tick_at, due.begin()->first);
+    if (next_due < woken_for) {
+      woken_for = next_due;
+      say({.kind = Decision::Kind::wake, .time = next_due});
+    }
+    return said.empty() ? std::nullopt : std::optional(said[said_from++]);
+  }
+};
+
+// ---- the interface ---------------------------------------------------------------------------------------
+
+Brain::Brain(std::uint32_t seed) : mind_(std::make_unique<Mind>(seed)) {}
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+Brain::~Brain() = default;
+
+void Brain::set_place(int location, int seats_here, int routers) {
+  mind_->here = location;
+  mind_->seats = std::max(1, seats_here);
+  mind_->routers = std::max(1, routers);
+}
+void Brain::set_roles(int par_kind, int origin_kind, bool direct) {
+  mind_->par_kind = par_kind;
+  mind_->origin_kind = origin_kind;
+  mind_->direct = direct;
+}
+void Brain::add_rule(const RemapRule& rule) {
+  mind_->rules.push_back(rule);
+  mind_->mean_work.push_back(rule.sla_time);  // until hits tell: an SLA time is longer than most sendings
+}
+void Brain::set_hops(int most, bool second_copies, bool can_call_off, bool can_probe) {
+  mind_->most_hops = most;
+  mind_->second_copies = second_copies;
+  mind_->can_call_off = can_call_off;
+  mind_->can_probe = can_probe;
+}
+void Brain::set_fills(Siblings siblings, bool join, Notes notes, double client_kb_per_s) {
+  mind_->siblings = siblings;
+  mind_->joins = join;
+  mind_->notes = notes;
+  mind_->pace = client_kb_per_s;
+}
+void Brain::set_reports(const std::vector<Value>& names) { mind_->report_names = names; }
+void Brain::set_cold_caches(double from, Sec warm_after, double fall_multiple, Sec fall_window) {
+  mind_->cold_cache = {from, fall_multiple, warm_after};
+  mind_->cold_window = fall_window;
+}
+void Brain::set_cold_pars(double from, Sec warm_after, double fall_multiple) {
+  mind_->cold_par = {from, fall_multiple, warm_after};
+}
+void Brain::set_purges(Sec settles) { mind_->settles = settles; }
+void Brain::set_clients(bool marks_repeats, Sec longest_pause) {
+  mind_->marks_repeats = marks_repeats;
+  mind_->longest_pause = longest_pause;
+}
+void Brain::clock(Sec now) { mind_->now = now; }
+void Brain::list_begin(bool whole) {
+  for (auto& x : mind_->members) x.named = !whole;
+}
+void Brain::list_member(int member, std::uint64_t hash, int location, int kind, int cell, Listed state,
+                        double weight, Sec started) {
+  mind_->list_member(member, hash, location, kind, cell, state, weight, started);
+}
+void Brain::list_end() {
+  for (auto& x : mind_->members) x.listed = x.listed && x.named;  // not in a whole list: gone
+}
+void Brain::txn_taken(int txn, int rule, std::uint64_t object, int part, std::uint32_t group, double kbytes,
+                      Sec expires, bool repeat) {
+  mind_->txn_taken(txn, rule, object, part, group, kbytes, expires, repeat);
+}
+void Brain::txn_left(int txn) { mind_->finish(mind_->txns[txn]); }
+void Brain::hop_ended(int txn, int hop, int, Verdict verdict, Note note, Sec took, Sec, bool txn_over,
+                      const std::vector<double>&) {
+  mind_->hop_ended(txn, hop, verdict, note, took, txn_over);
+}
+void Brain::probed(int, Verdict, Sec, const std::vector<double>&) {}
+void Brain::purged(std::uint64_t object, Sec ago) { mind_->note_purge(mind_->purged_objects, object, ago); }
+void Brain::purged_group(std::uint32_t group, Sec ago) {
+  mind_->note_purge(mind_->purged_groups, group, ago);
+}
+void Brain::woken() {
+  if (mind_->now >= mind_->woken_for - 1e-6) mind_->woken_for = kNever;
+}
+std::optional<Decision> Brain::next() { return mind_->next(); }
+
+}  // namespace walkpaddle
--- /dev/null
+++ b/src/brain.h
@@ -0,0 +1,123 @@
+// The interface of the decision module: plain domain types, input calls and one pull call.
+// Inputs only update what is known; next() hands out decisions one by one until none is left.
+// Times are seconds with fractions on the host's clock. Members, txns and places are small indices;
+// objects and members also come with a stable hash of their text, the same at every router.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace walkpaddle {
+
+using Sec = double;
+
+enum class Effect { repeatable, keyed, unrepeatable };
+enum class Group { all, location, cell };                     // who drops the repeats of a keyed txn
+enum class Listed { gone, ready, draining };                  // what the list says of a member
+enum class Siblings { none, location, any };                  // which caches can supply a fill
+enum class Notes { none, hit, all };                          // how much an answer tells of its fill
+enum class Value { inflight, util, hit_share, link, other };  // what a load report holds
+enum class Verdict {
+  completed,
+  error,
+  not_taken,
+  timed_out,
+  no_connection,
+  broken,
+  called_off,
+  not_sent,
+  lacking
+};
+enum class Note {
+  none,
+  hit,
+  filled,
+  by_origin,
+  joined,
+  old_copy,
+  source_refused,
+  source_unreached,
+  source_lacks,
+  no_fill_place,
+  origin_failed
+};
+
+struct RemapRule {
+  Effect effect = Effect::repeatable;
+  Group group = Group::all;
+  Sec window = 0;          // keyed: how long repeats are dropped
+  Sec sla_time = 0;        // answered by then: full importance
+  double sla_stretch = 0;  // the SLA time grows by this multiple of the txn's own sending time
+  Sec time_limit = 0;
+  double importance = 1;
+  double late_share = 0;  // of the importance, after the SLA time
+  Sec fresh = 0;          // 0: no limit
+  Sec grace = 0;          // past fresh, a copy may still be served
+  double old_share = 0;   // of the importance, for a copy past fresh
+  bool in_parts = false;
+  bool uncacheable = false;
+};
+
+struct Decision {
+  enum class Kind { look, deliver, reject, abort, call_off, probe, wake, remark };
+  Kind kind = Kind::wake;
+  int txn = -1;
+  int member = -1;
+  int source = -1;         // deliver: who supplies a miss; the member itself for none
+  int hop = 0;             // call_off: which hop of the txn
+  int rank = 0;            // deliver: 0 keeps no copy, 1 to 3 is the rank of the kept one
+  Sec time = 0;            // time-out of a hop, pause of a rejection, or when to wake
+  Sec age = 0;             // deliver: the oldest copy that will do, 0 for the rule's fresh time
+  bool join = false;       // wait for a fill under way
+  bool held_only = false;  // the source gives only what it holds
+  bool no_par_copy = false;
+  bool renew = false;  // serve an ageing copy and fetch it anew behind
+  std::string text{};
+};
+
+class Brain {
+ public:
+  explicit Brain(std::uint32_t seed);
+  Brain(Brain&&) noexcept;
+  Brain& operator=(Brain&&) noexcept;
+  ~Brain();
+
+  // Settings, before the first input; each part takes its own few.
+  void set_place(int location, int seats_here, int routers);
+  void set_roles(int par_kind, int origin_kind, bool direct);
+  void add_rule(const RemapRule& rule);
+  void set_hops(int most, bool second_copies, bool can_call_off, bool can_probe);
+  void set_fills(Siblings siblings, bool join, Notes notes, double client_kb_per_s);
+  void set_reports(const std::vector<Value>& names);
+  void set_cold_caches(double from, Sec warm_after, double fall_multiple, Sec fall_window);
+  void set_cold_pars(double from, Sec warm_after, double fall_multiple);
+  void set_purges(Sec settles);
+  void set_clients(bool marks_repeats, Sec longest_pause);
+
+  // Inputs.
+  void clock(Sec now);
+  void list_begin(bool whole);
+  void list_member(int member, std::uint64_t hash, int location, int kind, int cell, Listed state,
+                   double weight, Sec started);  // started 0: long ago
+  void list_end();
+  void txn_taken(int txn, int rule, std::uint64_t object, int part, std::uint32_t group, double kbytes,
+                 Sec expires, bool repeat);
+  void txn_left(int txn);
+  void hop_ended(int txn, int hop, int member, Verdict verdict, Note note, Sec took, Sec waited,
+                 bool txn_over, const std::vector<double>& report);
+  void probed(int member, Verdict verdict, Sec took, const std::vector<double>& report);
+  void purged(std::uint64_t object, Sec ago);
+  void purged_group(std::uint32_t group, Sec ago);
+  void woken();
+
+  std::optional<Decision> next();
+
+ private:
+  struct Mind;
+  std::unique_ptr<Mind> mind_;
+};
+
+}  // namespace walkpaddle
--- /dev/null
+++ b/src/wirehost/host.cpp
@@ -0,0 +1,458 @@
+#include "wirehost/host.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace walkpaddle::wirehost {
+
+namespace {
+
+// FNV-1a with a final mix: small, and the same at every router and on every machine.
+std::uint64_t stable_hash(std::string_view text) {
+  std::uint64_t h = 14695981039346656037u;
+  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211u;
+  h = (h ^ (h >> 33)) * 0xff51afd7ed558ccdu;
+  return h ^ (h >> 33);
+}
+
+[[noreturn]] void bad(const char* name, std::string_view got) {
+  throw Malformed(std::string("bad ") + name + " '" + std::string(got.substr(0, 60)) + "'");
+}
+
+template <class T>
+T parse(std::string_view text, const char* name) {
+  T value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) bad(name, text);
+  if constexpr (std::is_floating_point_v<T>) {
+    if (!std::isfinite(value)) bad(name, text);
+  }
+  return value;
+}
+
+std::string_view cut(std::string_view& rest, char mark) {
+  const auto at = rest.find(mark);
+  const auto head = rest.substr(0, at);
+  rest = at == std::string_view::npos ? std::string_view() : rest.substr(at + 1);
+  return head;
+}
+
+// The settings of ENLIST, by path. What is absent reads as the value given.
+class Settings {
+ public:
+  explicit Settings(std::string_view rest) {
+    while (!rest.empty()) {
+      const auto pair = cut(rest, ' ');
+      if (pair.empty()) continue;
+      const auto eq = pair.find('=');
+      if (eq == std::string_view::npos) bad("settings pair", pair);
+      values_[pair.substr(0, eq)] = pair.substr(eq + 1);
+    }
+  }
+  std::string_view text(const std::string& path, std::string_view absent = "") const {
+    const auto it = values_.find(path);
+    return it == values_.end() || it->second == "-" ? absent : it->second;
+  }
+  double number(const std::string& path, double absent = 0) const {
+    const auto value = text(path);
+    return value.empty() ? absent : parse<double>(value, path.c_str());
+  }
+  Sec ms(const std::string& path) const { return number(path) / 1e3; }
+  int whole(const std::string& path, int absent = 0) const { return static_cast<int>(number(path, absent)); }
+  bool flag(const std::string& path, bool absent = false) const {
+    const auto value = text(path);
+    return value.empty() ? absent : value == "true" || value == "1";
+  }
+  std::string_view item(const std::string& path, std::size_t at) const {
+    auto rest = text(path);
+    for (; at > 0 && !rest.empty(); --at) cut(rest, ',');
+    return cut(rest, ',');
+  }
+  double item_number(const std::string& path, std::size_t at) const {
+    const auto value = item(path, at);
+    return value.empty() ? 0 : parse<double>(value, path.c_str());
+  }
+
+ private:
+  std::unordered_map<std::string_view, std::string_view> values_;
+};
+
+template <class T>
+T choose(std::string_view word, std::initializer_list<std::pair<std::string_view, T>> known, T other) {
+  for (const auto& [name, value] : known)
+    if (name == word) return value;
+  return other;
+}
+
+RemapRule rule_of(const Settings& s, std::size_t n) {
+  const std::string at = "categories." + std::to_string(n) + ".";
+  RemapRule r;
+  r.effect = choose(s.text(at + "effect"), {{"free", Effect::repeatable}, {"guarded", Effect::keyed}},
+                    Effect::unrepeatable);
+  r.group = choose(s.text(at + "group"), {{"zone", Group::location}, {"cell", Group::cell}}, Group::all);
+  r.window = s.ms(at + "window");
+  r.sla_time = s.ms(at + "aim");
+  r.sla_stretch = s.number(at + "aim_stretch");
+  r.time_limit = s.ms(at + "deadline");
+  r.importance = s.number(at + "gain", 1);
+  r.late_share = s.number(at + "late_worth");
+  r.fresh = s.item_number("specifics.class_fresh", n) / 1e3;
+  r.grace = s.item_number("specifics.class_grace", n) / 1e3;
+  r.old_share = s.item_number("specifics.stale_earns", n);
+  r.in_parts = s.item("specifics.in_parts", n) == "true";
+  r.uncacheable = s.item("specifics.pass_on", n) == "true";
+  return r;
+}
+
+Verdict verdict_of(std::uint64_t code) {
+  if (code < 1 || code > 9) bad("verdict", std::to_string(code));
+  return static_cast<Verdict>(code - 1);
+}
+
+}  // namespace
+
+std::optional<std::string_view> Fields::take() {
+  if (rest_.empty()) return std::nullopt;
+  const auto field = cut(rest_, ' ');
+  if (field == "-") return std::nullopt;
+  return field;
+}
+
+std::string_view Fields::text(const char* name) {
+  const auto field = take();
+  if (!field || field->empty()) throw Malformed(std::string("missing ") + name);
+  return *field;
+}
+
+std::string_view Fields::text_or(std::string_view absent) { return take().value_or(absent); }
+std::uint64_t Fields::integer(const char* name) { return parse<std::uint64_t>(text(name), name); }
+double Fields::number(const char* name) { return parse<double>(text(name), name); }
+
+std::int64_t Fields::integer_or(std::int64_t absent, const char* name) {
+  const auto field = take();
+  return field ? parse<std::int64_t>(*field, name) : absent;
+}
+
+double Fields::number_or(double absent, const char* name) {
+  const auto field = take();
+  return field ? parse<double>(*field, name) : absent;
+}
+
+bool Fields::flag(const char* name) {
+  const auto value = integer(name);
+  if (value > 1) bad(name, std::to_string(value));
+  return value == 1;
+}
+
+bool Host::line(std::string_view text) {
+  Fields f(text);
+  const auto name = f.text("message name");
+  if (!inside_) {
+    if (name != "BEGIN_BATCH") throw Malformed("expected BEGIN_BATCH");
+    const Sec now = f.number("clock") / 1e3;
+    seq_ = f.text("batch number");
+    parse<std::uint64_t>(seq_, "batch number");
+    inside_ = true;
+    touched_.clear();
+    faults_.clear();
+    out_.clear();
+    for (auto& [number, in] : instances_) in.brain.clock(now);
+    clock_ = now;
+    return false;
+  }
+  if (entries_due_ > 0) {
+    if (name != "SERVER") throw Malformed("expected SERVER, the list is short of entries");
+    server_entry(f);
+    --entries_due_;
+    return false;
+  }
+  if (name != "END") {
+    event(name, f);
+    return false;
+  }
+  if (!f.rest().empty()) throw Malformed("END takes no values");
+  for (const int number : touched_) {
+    const auto it = instances_.find(number);
+    if (it != instances_.end()) guarded(number, [&] { pull(number, it->second); });
+  }
+  for (const auto& [number, what] : faults_) out_ += "FATAL " + std::to_string(number) + " " + what + "\n";
+  out_ += "EOR " + seq_ + "\n";
+  inside_ = false;
+  return true;
+}
+
+// An exception from the module ends the day by the wire's own word; one from the wire is the wire's fault.
+template <class F>
+void Host::guarded(int number, F&& call) {
+  try {
+    call();
+  } catch (const Malformed&) {
+    throw;
+  } catch (const std::exception& e) {
+    faults_.emplace_back(number, e.what());
+  }
+}
+
+void Host::touch(int number) {
+  if (std::find(touched_.begin(), touched_.end(), number) == touched_.end()) touched_.push_back(number);
+}
+
+void Host::event(std::string_view name, Fields& f) {
+  if (name == "ROSTER") {
+    bank_ = f.integer("bank");
+    if (bank_ >= rosters_.size()) bad("bank", std::to_string(bank_));
+    entries_due_ = f.integer("members");
+    rosters_[bank_].clear();
+    return;
+  }
+  if (name == "ENLIST") return enlist(f);
+  const int number = static_cast<int>(f.integer("i"));
+  const auto it = instances_.find(number);
+  if (it == instances_.end()) bad("instance", std::to_string(number));
+  if (name == "KILL") {
+    instances_.erase(it);
+    return;
+  }
+  auto& in = it->second;
+  touch(number);
+  guarded(number, [&] {
+    if (name == "QUERY") return query(in, f);
+    if (name == "COMPLETED") return completed(in, f);
+    if (name == "TOPOLOGY") return topology(in, f);
+    if (name == "ELAPSED") return in.brain.woken();
+    if (name == "HANGUP") {
+      const auto at = in.txn_of.find(static_cast<std::uint32_t>(f.integer("msg_id")));
+      if (at == in.txn_of.end()) return;
+      in.txns[at->second].over = true;
+      in.brain.txn_left(at->second);
+      return close_if_done(in, at->second);
+    }
+    if (name == "WITHDRAWN_COPY") {
+      const Sec ago = f.number("oldness") / 1e3;
+      const auto tag = static_cast<std::uint32_t>(f.integer_or(0, "tag"));
+      const auto object = f.text_or("0");
+      return object == "0" ? in.brain.purged_group(tag, ago) : in.brain.purged(stable_hash(object), ago);
+    }
+    if (name == "PONG") {
+      const Sec took = f.ms_or(0, "time_taken");
+      const int who = member(in, f.text("server"));
+      const auto verdict = verdict_of(f.integer("verdict"));
+      report(f.text_or(""));
+      return in.brain.probed(who, verdict, took, row_);
+    }
+    if (name == "STREAMING" || name == "WHISPER") return;  // no streamed rules and no peers here
+    throw Malformed("unknown message");
+  });
+}
+
+void Host::enlist(Fields& f) {
+  const int number = static_cast<int>(f.integer("i"));
+  const auto seed = f.integer("entropy");
+  const Settings s(f.rest());
+  instances_.erase(number);
+  auto& in = instances_.try_emplace(number, static_cast<std::uint32_t>(seed ^ (seed >> 32))).first->second;
+  touch(number);
+  guarded(number, [&] {
+    auto& b = in.brain;
+    b.clock(clock_);
+    const int here = s.whole("locality");
+    b.set_place(here, static_cast<int>(s.item_number("specifics.seats_by_zone", here)),
+                s.whole("fleet_size", 1));
+    b.set_roles(s.whole("specifics.second_tier_kind", -1), s.whole("specifics.origin_kind", -1),
+                s.flag("specifics.direct"));
+    const auto rules = static_cast<std::size_t>(s.number("categories.count"));
+    for (std::size_t n = 0; n < rules; ++n) b.add_rule(rule_of(s, n));
+    b.set_hops(s.whole("allowed.max_attempts", 1), s.flag("allowed.second_copies"), s.flag("allowed.cancel"),
+               s.flag("allowed.probes"));
+    b.set_fills(
+        choose(s.text("specifics.peers_fill"), {{"location", Siblings::location}, {"any", Siblings::any}},
+               Siblings::none),
+        s.flag("specifics.merges_fills"),
+        choose(s.text("specifics.notes_given"), {{"all", Notes::all}, {"hit", Notes::hit}}, Notes::none),
+        s.number("specifics.client_kb_per_s"));
+    std::vector<Value> names;
+    auto rest = s.text("report.names");
+    while (!rest.empty())
+      names.push_back(choose(cut(rest, ','),
+                             {{"inflight", Value::inflight},
+                              {"util", Value::util},
+                              {"x0", Value::hit_share},
+                              {"x1", Value::link}},
+                             Value::other));
+    b.set_reports(names);
+    b.set_cold_caches(s.number("rules.cold_from", 1), s.ms("rules.warm_after"),
+                      s.number("rules.fall_multiple", 1), s.ms("rules.overload_for"));
+    b.set_cold_pars(s.number("specifics.upper_cold_from", 1), s.ms("specifics.parent_warms_in"),
+                    s.number("specifics.upper_fall_multiple", 1));
+    b.set_purges(s.ms("specifics.purge_settles"));
+    b.set_clients(s.flag("client_habits.marks_retry"),
+                  s.flag("allowed.retry_after") ? s.ms("allowed.max_retry_after") : 0);
+  });
+}
+
+void Host::server_entry(Fields& f) {
+  const auto server = f.text("server");
+  Entry e{std::string(server), stable_hash(server), 0, 0, 0, Listed::ready, 1, 0};
+  e.location = static_cast<int>(f.integer_or(0, "hall"));
+  e.kind = static_cast<int>(f.integer_or(0, "generation_hw"));
+  e.cell = static_cast<int>(f.integer_or(0, "pack"));
+  const auto state = f.integer("lifecycle");
+  if (state > 2) bad("lifecycle", std::to_string(state));
+  e.state = static_cast<Listed>(state);
+  e.weight = f.number_or(1, "nominal");
+  e.started = f.ms_or(0, "start_time");
+  rosters_[bank_].push_back(std::move(e));
+}
+
+void Host::topology(Instance& in, Fields& f) {
+  const auto how = f.integer("how");
+  if (how > 3) bad("how", std::to_string(how));
+  if (how == 3) return;
+  f.integer_or(0, "serial");
+  const auto bank = f.integer("bank");
+  if (bank >= rosters_.size()) bad("bank", std::to_string(bank));
+  in.brain.list_begin(how != 1);
+  for (const auto& e : rosters_[bank])
+    in.brain.list_member(member(in, e.server), e.hash, e.location, e.kind, e.cell, e.state, e.weight,
+                         e.started);
+  in.brain.list_end();
+}
+
+void Host::query(Instance& in, Fields& f) {
+  const auto id = static_cast<std::uint32_t>(f.integer("msg_id"));
+  const int rule = static_cast<int>(f.integer("profile"));
+  f.integer_or(0, "owner");
+  const auto object = stable_hash(f.text_or("0"));
+  const Sec expires = f.number("expires") / 1e3;
+  const double kbytes = f.number_or(0, "kbytes");
+  const auto group = static_cast<std::uint32_t>(f.integer_or(0, "label_no"));
+  const int part = static_cast<int>(f.integer_or(0, "piece"));
+  const bool repeat = (f.integer_or(0, "bits") & 2) != 0;
+  int slot = static_cast<int>(in.txns.size());
+  if (in.free_txns.empty()) {
+    in.txns.emplace_back();
+  } else {
+    slot = in.free_txns.back();
+    in.free_txns.pop_back();
+  }
+  in.txns[slot] = {id, 0, false};
+  in.txn_of[id] = slot;
+  in.brain.txn_taken(slot, rule, object, part, group, kbytes, expires, repeat);
+}
+
+void Host::completed(Instance& in, Fields& f) {
+  const auto id = static_cast<std::uint32_t>(f.integer("msg_id"));
+  const bool over = f.flag("ended");
+  const auto server = f.text("server");
+  const Sec waited = f.ms_or(0, "fill_wait");
+  const auto verdict = verdict_of(f.integer("verdict"));
+  const auto note = f.integer_or(0, "note");
+  const int hop = static_cast<int>(f.integer_or(0, "n"));
+  const Sec took = f.ms_or(0, "time_taken");
+  report(f.text_or(""));
+  const auto at = in.txn_of.find(id);
+  if (at == in.txn_of.end()) return;
+  const int txn = at->second;
+  auto& t = in.txns[txn];
+  if (t.out > 0) --t.out;
+  t.over = t.over || over;
+  in.brain.hop_ended(txn, hop, member(in, server), verdict,
+                     note < 0 || note > 10 ? Note::none : static_cast<Note>(note), took, waited, over, row_);
+  close_if_done(in, txn);
+}
+
+int Host::member(Instance& in, std::string_view server) {
+  const auto [it, fresh] = in.member_of.try_emplace(std::string(server), static_cast<int>(in.members.size()));
+  if (fresh) in.members.emplace_back(server);
+  return it->second;
+}
+
+void Host::close_if_done(Instance& in, int txn) {
+  auto& t = in.txns[txn];
+  if (!t.over || t.out > 0) return;
+  in.txn_of.erase(t.id);
+  in.free_txns.push_back(txn);
+}
+
+void Host::report(std::string_view row) {
+  row_.clear();
+  while (!row.empty()) {
+    const auto value = cut(row, ',');
+    row_.push_back(value.empty() || value == "-" ? 0 : parse<double>(value, "telemetry"));
+  }
+}
+
+void Host::pull(int number, Instance& in) {
+  while (const auto d = in.brain.next()) write(number, in, *d);
+}
+
+void Host::put_number(double value) {
+  char text[40];
+  const auto end = std::to_chars(text, text + sizeof text, value, std::chars_format::fixed, 3).ptr;
+  out_ += ' ';
+  out_.append(text, end);
+}
+
+void Host::write(int number, Instance& in, const Decision& d) {
+  using Kind = Decision::Kind;
+  const auto head = [&](std::string_view name) {
+    out_ += name;
+    out_ += ' ';
+    out_ += std::to_string(number);
+  };
+  const auto whole = [&](std::int64_t value) {
+    out_ += ' ';
+    out_ += std::to_string(value);
+  };
+  const auto server = [&](int who) {
+    out_ += ' ';
+    out_ += in.members[who];
+  };
+  switch (d.kind) {
+    case Kind::look:
+    case Kind::deliver: {
+      head(d.kind == Kind::look ? "TRY" : "DELIVER_VIA");
+      whole(in.txns[d.txn].id);
+      ++in.txns[d.txn].out;
+      server(d.member);
+      put_ms(d.time);
+      if (d.kind == Kind::look) break;
+      server(d.source);
+      whole(d.rank);
+      put_ms(d.age);
+      whole((d.join ? 1 : 0) + (d.held_only ? 2 : 0) + (d.no_par_copy ? 4 : 0) + (d.renew ? 8 : 0));
+      break;
+    }
+    case Kind::reject:
+    case Kind::abort:
+      head(d.kind == Kind::reject ? "DECLINE" : "LOSE");
+      whole(in.txns[d.txn].id);
+      if (d.kind == Kind::reject) put_ms(d.time);
+      in.txns[d.txn].over = true;
+      close_if_done(in, d.txn);
+      break;
+    case Kind::call_off:
+      head("RECALL");
+      whole(in.txns[d.txn].id);
+      whole(d.hop);
+      break;
+    case Kind::probe:
+      head("HEALTH_CHECK");
+      server(d.member);
+      break;
+    case Kind::wake:
+      head("AFTER");
+      put_ms(d.time);
+      out_ += " wake";
+      break;
+    case Kind::remark:
+      head("REMARK");
+      out_ += ' ';
+      out_ += d.text;
+      break;
+  }
+  out_ += '\n';
+}
+
+}  // namespace walkpaddle::wirehost
--- /dev/null
+++ b/src/wirehost/main.cpp
@@ -0,0 +1,58 @@
+// Reads the wire from standard input, line by line, and answers each batch on standard output.
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstring>
+#include <exception>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wirehost/host.h"
+
+namespace {
+
+int fail(long line_no, std::string_view line, const char* what) {
+  const std::string name(line.substr(0, line.find(' ')).substr(0, 40));
+  std::fprintf(stderr, "walkpaddle_wirehost: line %ld: %s: %s\n", line_no, name.c_str(), what);
+  return 1;
+}
+
+}  // namespace
+
+int main() {
+  walkpaddle::wirehost::Host host;
+  std::vector<char> buffer(1 << 20);
+  std::size_t begin = 0, end = 0;
+  long line_no = 0;
+  for (;;) {
+    auto* start = buffer.data() + begin;
+    auto* eol = static_cast<char*>(std::memchr(start, '\n', end - begin));
+    if (eol == nullptr) {
+      std::memmove(buffer.data(), start, end - begin);
+      end -= begin;
+      begin = 0;
+      if (end == buffer.size()) buffer.resize(buffer.size() * 2);
+      const ssize_t got = ::read(0, buffer.data() + end, buffer.size() - end);
+      if (got > 0) {
+        end += static_cast<std::size_t>(got);
+        continue;
+      }
+      if (end != 0) return fail(line_no + 1, {buffer.data(), end}, "input ends within a line");
+      if (host.inside_batch()) return fail(line_no, "END", "input ends within a batch");
+      return 0;
+    }
+    std::string_view line(start, static_cast<std::size_t>(eol - start));
+    begin += line.size() + 1;
+    ++line_no;
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    try {
+      if (host.line(line)) {
+        std::fwrite(host.reply().data(), 1, host.reply().size(), stdout);
+        std::fflush(stdout);
+      }
+    } catch (const std::exception& e) {
+      return fail(line_no, line, e.what());
+    }
+  }
+}
