Spread hops by a bound over the location's mean, hold when full

Cause: fully loaded caches turned hops away and the router sent them on at once: up to 7.8 hops a txn, 86% of them turned away, and one cache of a location carried 1.6 times the mean at half load. Change: a cache is skipped in hash order at 1.3 times the location's mean of hops in flight; with room nowhere a txn is held, and one that was turned away waits for a growing pause. It should also catch a slow or frozen cache, whose hops pile up. Harm: hits are lost where a hot object spills.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -74,7 +74,6 @@
   double used = 0;
   Sec cut_at = -kNever;
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
-  double fullness() const { return used / cap; }
   void good() {
     if (used > cap / 2) cap += 1 / cap;
   }
@@ -371,27 +370,21 @@
     return t.kbytes > 0 && pace > 0 && mean_work[t.rule] > 0 ? work_of(t) / mean_work[t.rule] : 1;
   }
 
-  // The first in order that is usable, has room and has not failed this txn; if only bounds stand in the
-  // way, the least full one.
-  int first_of(const std::vector<int>& all, const std::function<bool(int)>& fit,
-               const std::function<double(int)>& full) {
-    int least = -1;
-    for (const int m : all) {
-      if (!usable(members[m]) || !fit(m)) continue;
-      if (full(m) < 1) return m;
-      if (least < 0 || full(m) < full(least)) least = m;
-    }
-    return least;
+  // The first in order that is usable and fits; without room everywhere the txn waits.
+  int first_of(const std::vector<int>& all, const std::function<bool(int)>& fit) const {
+    for (const int m : all)
+      if (usable(members[m]) && fit(m)) return m;
+    return -1;
   }
 
   int pick_source(const Txn& t, bool allow_origin) {
     const double w = fill_weight(t), work = work_of(t);
-    const auto fit = [&](int m) { return !failed_from(t, m) && cold_room(members[m], work); };
-    const auto full = [&](int m) { return members[m].fills.room(w) ? 0.0 : members[m].fills.fullness() + 1; };
-    const int par = first_of(order(t.object, Role::par), fit, full);
+    const auto room = [&](int m) { return members[m].fills.room(w); };
+    const int par = first_of(order(t.object, Role::par), [&](int m) {
+      return room(m) && !failed_from(t, m) && cold_room(members[m], work);
+    });
     if (par >= 0 || !allow_origin) return par;
-    return first_of(
-        order(t.object, Role::origin), [](int) { return true; }, full);
+    return first_of(order(t.object, Role::origin), room);
   }
 
   struct Place {
@@ -404,15 +397,18 @@
     const double work = work_of(t), w = fill_weight(t);
     const auto& e = counts.at(t.object, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
-    p.member = first_of(
-        order(t.object, Role::cache), [&](int m) { return !failed_at(t, m) && cold_room(members[m], work); },
-        [&](int m) {
-          const auto& x = members[m];
-          const bool fill = !(sib_known && e.sib == m);
-          return x.hops.room(1) && (!fill || x.fills.room(w))
-                     ? 0.0
-                     : std::max(x.hops.fullness(), x.fills.fullness()) + 1;
-        });
+    const auto caches = order(t.object, Role::cache);
+    double used = 0, size = 0;
+    for (const int m : caches)
+      if (usable(members[m])) used += members[m].hops.used, size += members[m].weight;
+    constexpr double kOver = 1.3, kFew = 4;  // a third over the mean evens loads and moves few objects
+    p.member = first_of(caches, [&](int m) {
+      const auto& x = members[m];
+      const bool fill = !(sib_known && e.sib == m);
+      const double fair_part = std::max(kFew, kOver * (used + 1) * x.weight / std::max(size, 1e-9));
+      return !failed_at(t, m) && x.hops.room(1) && x.hops.used + 1 <= fair_part &&
+             (!fill || x.fills.room(w)) && cold_room(x, work);
+    });
     if (p.member >= 0) {
       if (!t.keep && siblings != Siblings::none && sib_known && e.sib != p.member && usable(members[e.sib]) &&
           !failed_from(t, e.sib) && cold_room(members[e.sib], work)) {
@@ -431,14 +427,11 @@
   // An uncacheable rule goes straight to the origin, or through a cache where parents and origin take no
   // hops.
   Place pass(const Txn& t) {
-    const auto any = [](int) { return true; };
-    const int origin = first_of(order(t.object, Role::origin), any, [](int) { return 0.0; });
+    const int origin = first_of(order(t.object, Role::origin), [](int) { return true; });
     if (origin < 0) return {};
     if (direct) return {origin, origin, false};
-    const int cache = first_of(
-        order(t.object, Role::cache),
-        [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); },
-        [](int) { return 0.0; });
+    const int cache = first_of(order(t.object, Role::cache),
+                               [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); });
     return {cache, cache < 0 ? -1 : origin, false};
   }
 
@@ -632,9 +625,10 @@
     }
     if (over) finish(t);
     if (!t.live) return;
-    if (v == Verdict::not_taken && r.uncacheable) {
-      // The origin turned it away: again after a growing pause, while the client waits.
-      return hold(i, 0.05 * (1 << std::min(4, t.turned_away++)));
+    if (v == Verdict::not_taken) {
+      h.failed = h.failed && !r.uncacheable;
+      // Turned away: again after a growing pause, so that a crowd is not answered with a storm.
+      return hold(i, 0.02 * (1 << std::min(4, t.turned_away++)));
     }
     want(i);
   }
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -51,10 +51,11 @@
   return static_cast<int>(names.size()) - 1;
 }
 
-const std::vector<std::string> kVerdicts{"completed", "error", "not_taken", "timed_out", "no_connection",
-                                         "broken", "called_off", "not_sent", "lacking"};
-const std::vector<std::string> kNotes{"none", "hit", "filled", "by_origin", "joined", "old_copy", "source_refused",
-                                      "source_unreached", "source_lacks", "no_fill_place", "origin_failed"};
+const std::vector<std::string> kVerdicts{"completed", "error",      "not_taken", "timed_out", "no_connection",
+                                         "broken",    "called_off", "not_sent",  "lacking"};
+const std::vector<std::string> kNotes{"none",         "hit",           "filled",         "by_origin",
+                                      "joined",       "old_copy",      "source_refused", "source_unreached",
+                                      "source_lacks", "no_fill_place", "origin_failed"};
 
 }  // namespace
 
@@ -73,7 +74,8 @@
       std::printf("%8.3f ", now - 1000);
       const auto* txn = d->txn < 0 ? "" : txns[d->txn].c_str();
       if (d->kind == Kind::deliver || d->kind == Kind::look) {
-        std::printf("%s to %s from %s rank %d", txn, members[d->member].c_str(), members[d->source].c_str(), d->rank);
+        std::printf("%s to %s from %s rank %d", txn, members[d->member].c_str(), members[d->source].c_str(),
+                    d->rank);
         if (d->age > 0) std::printf(" age %.3f", d->age);
         if (d->time > 0) std::printf(" for %.3f", d->time);
         if (d->held_only) std::printf(" held only");
@@ -92,9 +94,10 @@
   };
   const auto list = [&](const Line& l, int kind) {
     for (std::size_t n = 1; n < l.words.size(); ++n)
-      brain.list_member(index_of(members, l.words[n]), hash_of(l.words[n]), static_cast<int>(l.num("at")), kind, 0,
-                        static_cast<Listed>(l.pick("is", {"gone", "ready", "draining"}) + (l.pairs.count("is") ? 0 : 1)),
-                        l.num("weight", 1), l.pairs.count("age") ? now - l.num("age") : 0);
+      brain.list_member(
+          index_of(members, l.words[n]), hash_of(l.words[n]), static_cast<int>(l.num("at")), kind, 0,
+          static_cast<Listed>(l.pick("is", {"gone", "ready", "draining"}) + (l.pairs.count("is") ? 0 : 1)),
+          l.num("weight", 1), l.pairs.count("age") ? now - l.num("age") : 0);
   };
   brain.clock(now);
   for (std::string text; std::getline(std::cin, text);) {
@@ -107,9 +110,10 @@
       brain.set_place(0, 1, static_cast<int>(l.num("routers", 2)));
       brain.set_roles(8, 9, l.num("direct", 1) > 0);
       brain.set_hops(static_cast<int>(l.num("hops", 6)), l.num("second") > 0, l.num("calloff", 1) > 0, false);
-      brain.set_fills(static_cast<Siblings>(l.pick("siblings", {"none", "location", "any"})), l.num("join", 1) > 0,
-                      l.pairs.count("notes") ? static_cast<Notes>(l.pick("notes", {"none", "hit", "all"})) : Notes::all,
-                      1000);
+      brain.set_fills(
+          static_cast<Siblings>(l.pick("siblings", {"none", "location", "any"})), l.num("join", 1) > 0,
+          l.pairs.count("notes") ? static_cast<Notes>(l.pick("notes", {"none", "hit", "all"})) : Notes::all,
+          1000);
       brain.set_cold_caches(0.2, 16, l.num("multiple", 2), 2);
       brain.set_cold_pars(0.08, 20, 2);
       brain.set_purges(6);
@@ -143,9 +147,9 @@
     } else if (what == "txn") {
       for (std::size_t n = 1; n < l.words.size(); ++n)
         brain.txn_taken(index_of(txns, l.words[n]), static_cast<int>(l.num("rule")),
-                        hash_of(l.pairs.count("object") ? l.pairs.at("object") : "a"), static_cast<int>(l.num("part")),
-                        static_cast<std::uint32_t>(l.num("group")), l.num("kb"), now + l.num("for", 5),
-                        l.num("repeat") > 0);
+                        hash_of(l.pairs.count("object") ? l.pairs.at("object") : "a"),
+                        static_cast<int>(l.num("part")), static_cast<std::uint32_t>(l.num("group")),
+                        l.num("kb"), now + l.num("for", 5), l.num("repeat") > 0);
     } else if (what == "ended") {
       const auto verdict = static_cast<Verdict>(l.pick("as", kVerdicts));
       const auto who = l.pairs.count("by") ? index_of(members, l.pairs.at("by")) : 0;
