Limit fills over the location's link, wait by importance per work

Told from dead caches: hits were still answered at those caches, and the parents answered the other location. Change: a limit of this router's fills over the link, cut when a third come late; caches that are merely full are never passed by; what waits for room goes by importance for its work and is rejected after the SLA time's fixed part. It should also catch slow parents, a slow origin and heavy objects. Harm: fills wait where lateness has another cause.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <utility>
 
 namespace walkpaddle {
 
@@ -68,20 +69,27 @@
   std::vector<Entry> table_ = std::vector<Entry>(kSets * kWays);
 };
 
-// Mechanism 1. Guards against crowding of any cause: slots, links, fill places.
+// Mechanism 1. Guards against crowding of any cause: slots, links in and out, fill places. Grows by one with
+// each capful of answers in time, is cut by a share when too many come late or are turned away.
 struct Limit {
   double cap = 16;  // a small machine's work; grows or is cut within a second or two
-  double used = 0;
+  double used = 0, late = 0;
   Sec cut_at = -kNever;
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
-  void good() {
-    if (used > cap / 2) cap += 1 / cap;
+  void answered(bool was_late, Sec now) {
+    constexpr double kLately = 0.1,
+                     kTooMany = 0.3;  // of sizes that vary widely a tenth looks late on a good day
+    late += ((was_late ? 1 : 0) - late) * kLately;
+    if (late > kTooMany)
+      cut(now);
+    else if (!was_late && used > cap / 2)
+      cap += 1 / cap;
   }
   void cut(Sec now) {
-    constexpr Sec kPause = 0.3;  // one cut for one crowding: about an answer's time
+    constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
     if (now - cut_at < kPause) return;
     cut_at = now;
-    cap = std::max(2.0, cap * 0.7);
+    cap = std::max(2.0, cap * 0.8);
   }
 };
 
@@ -160,7 +168,9 @@
   Counts counts;
   std::vector<Member> members;
   std::vector<Txn> txns;
-  std::set<std::pair<Sec, int>> due;  // txns that wait
+  Limit link;                         // this router's fills over the location's link in
+  std::set<std::pair<Sec, int>> due;  // txns that wait for a time
+  std::vector<int> waiting;           // txns that wait for room
   std::vector<int> ready;             // txns that want a decision
   std::vector<Decision> said;
   std::size_t said_from = 0;
@@ -253,7 +263,7 @@
   // that wait there are moved.
   void look_for_silence() {
     std::vector<int> waiting(members.size());
-    const auto patience = [&](const Member& x) { return std::clamp(8 * x.gap, 0.6, 3.0); };
+    const auto patience = [&](const Member& x) { return std::clamp(8 * x.gap, 0.6, 5.0); };
     const auto stuck = [&](const Hop& h) -> int {
       const auto& c = members[h.member];
       if (now - std::max({c.heard, c.busy_since, h.sent}) > patience(c)) return h.member;
@@ -399,15 +409,19 @@
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
     const auto caches = order(t.object, Role::cache);
     double used = 0, size = 0;
+    bool none_left = true;
     for (const int m : caches)
-      if (usable(members[m])) used += members[m].hops.used, size += members[m].weight;
+      if (usable(members[m])) {
+        used += members[m].hops.used, size += members[m].weight;
+        none_left = none_left && (failed_at(t, m) || !cold_room(members[m], work));
+      }
     constexpr double kOver = 1.3, kFew = 4;  // a third over the mean evens loads and moves few objects
     p.member = first_of(caches, [&](int m) {
       const auto& x = members[m];
       const bool fill = !(sib_known && e.sib == m);
       const double fair_part = std::max(kFew, kOver * (used + 1) * x.weight / std::max(size, 1e-9));
       return !failed_at(t, m) && x.hops.room(1) && x.hops.used + 1 <= fair_part &&
-             (!fill || x.fills.room(w)) && cold_room(x, work);
+             (!fill || (x.fills.room(w) && link.room(w))) && cold_room(x, work);
     });
     if (p.member >= 0) {
       if (!t.keep && siblings != Siblings::none && sib_known && e.sib != p.member && usable(members[e.sib]) &&
@@ -419,7 +433,8 @@
       p.source = pick_source(t, true);
       if (p.source >= 0) return p;
     }
-    if (!direct) return {};
+    // No cache of the location can take it: straight to a parent. Never because the caches are merely full.
+    if (!direct || !none_left || !link.room(w)) return {};
     p.member = p.source = pick_source(t, true);
     return p;
   }
@@ -497,8 +512,11 @@
       return give_up(i);
     const Place p = r.uncacheable ? pass(t) : pick(t);
     if (p.member < 0 || !repeat_dropped_at(t, p.member)) {
-      if (now - t.taken > r.sla_time) return give_up(i);
-      return hold(i, 0.03);
+      const Sec last = std::min(t.taken + r.sla_time, t.expires - 2 * kLast);
+      if (now >= last) return give_up(i);
+      waiting.push_back(i);
+      due.insert({last, i});
+      return;
     }
     send(i, p);
   }
@@ -518,6 +536,7 @@
     if (x.out++ == 0) x.busy_since = now;
     x.hops.used += 1;
     if (x.role != Role::cache) x.fills.used += h.weight;
+    if (h.fill || x.role != Role::cache) link.used += h.weight;
     spend(x, work);
     if (p.source >= 0 && p.source != p.member) {
       auto& s = members[p.source];
@@ -533,7 +552,6 @@
     d.join = joins && !r.uncacheable;
     d.held_only = p.held_only;
     if (!r.uncacheable) d.age = age_limit(t, false);
-    if (x.trial > 0 && r.effect == Effect::repeatable) d.time = r.sla_time + r.sla_stretch * work;
     t.hops.push_back(h);
     ++t.out;
     say(std::move(d));
@@ -570,6 +588,7 @@
     --x.out;
     x.hops.used -= 1;
     if (x.role != Role::cache) x.fills.used -= h.weight;
+    if (h.fill || x.role != Role::cache) link.used -= h.weight;
     if (h.fill) {
       --members[h.source].out;
       members[h.source].fills.used -= h.weight;
@@ -597,15 +616,17 @@
       if (is_cold(x)) x.hops.cap += 0.25, x.fills.cap += 0.25;  // a fresh cap grows with its answers
       went_well(h.member);
       served(x, work);
-      x.hops.good();
+      const bool late = took > r.sla_time + r.sla_stretch * work;
       const bool was_hit = note == Note::hit || note == Note::old_copy;
       if (was_hit && (t.kbytes <= 0 || pace <= 0)) mean_work[t.rule] += (took - mean_work[t.rule]) * 0.02;
+      if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
+      if (!was_hit) link.answered(late, now);
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.good();
-        x.fills.good();
+        s.fills.answered(false, now);
+        x.fills.answered(false, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
       if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) {
@@ -670,7 +691,7 @@
       return;
     }
     if (v == Verdict::timed_out && now > t.expires - 0.02) {
-      x.hops.cut(now);
+      (h.fill || x.role != Role::cache ? link : x.hops).answered(true, now);
       return;
     }
     went_wrong(h.member, v != Verdict::error);
@@ -690,6 +711,20 @@
     look_for_silence();
   }
 
+  // Those that wait for room go first by importance for the work they ask, then by age.
+  void place_all() {
+    for (const int i : waiting) want(i);
+    waiting.clear();
+    std::stable_sort(ready.begin(), ready.end(), [&](int a, int b) {
+      const auto rank = [&](const Txn& t) {
+        return std::pair(-rules[t.rule].importance / std::max(0.001, work_of(t)), t.taken);
+      };
+      return rank(txns[a]) < rank(txns[b]);
+    });
+    const auto now_ready = std::exchange(ready, {});
+    for (const int i : now_ready) decide(i);
+  }
+
   std::optional<Decision> next() {
     if (said_from < said.size()) return said[said_from++];
     said.clear();
@@ -700,8 +735,7 @@
       due.erase(due.begin());
       want(i);
     }
-    for (std::size_t n = 0; n < ready.size(); ++n) decide(ready[n]);
-    ready.clear();
+    place_all();
     const Sec next_due = due.empty() ? tick_at : std::min(tick_at, due.begin()->first);
     if (next_due < woken_for) {
       woken_for = next_due;
