Cold budgets from told sizes, else from the mean rate at warm members

Cause: the router's part of a cold cache came from the highest short-time rate of any peer, counted at each txn's own size; one heavy object tripled it, and caches 3 to 8 s after their start were sent up to 3 times what they could do. Change: where weights tell links, the part is the link over the routers that may send; else a slow mean of the rate at warm members; hops at a cache count at the rule's mean, as the rule weighs them. Harm: a fresh member warms slower. The interface became an abstract class, without a forwarding layer.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -119,7 +119,7 @@
   double gap = 0.1;
   // load
   Limit hops, fills;
-  double spent = 0, served = 0, fair = 0;
+  double spent = 0, served = 0;
   Sec spent_at = 0, served_at = 0;
 };
 
@@ -146,22 +146,76 @@
          v == Verdict::lacking;
 }
 
-}  // namespace
-
-struct Brain::Mind {
+class Mind final : public Brain {
+ public:
   explicit Mind(std::uint32_t seed) : chance(seed) {}
 
+  void set_place(int location, int seats_here, int all_routers) override {
+    here = location;
+    seats = std::max(1, seats_here);
+    routers = std::max(1, all_routers);
+  }
+  void set_roles(int par, int origin, bool takes_direct) override {
+    par_kind = par;
+    origin_kind = origin;
+    direct = takes_direct;
+  }
+  void add_rule(const RemapRule& rule) override {
+    rules.push_back(rule);
+    mean_work.push_back(rule.sla_time);  // until hits tell: an SLA time is longer than most sendings
+  }
+  void set_hops(int most, bool, bool call_off, bool) override {
+    most_hops = most;
+    can_call_off = call_off;
+  }
+  void set_fills(Siblings from, bool join, Notes given, double client_kb_per_s) override {
+    siblings = from;
+    joins = join;
+    notes = given;
+    pace = client_kb_per_s;
+  }
+  void set_cold_caches(double from, Sec warm_after, double fall_multiple, Sec fall_window) override {
+    cold_cache = {from, fall_multiple, warm_after};
+    cold_window = fall_window;
+  }
+  void set_cold_pars(double from, Sec warm_after, double fall_multiple) override {
+    cold_par = {from, fall_multiple, warm_after};
+  }
+  void set_weights(bool tell_transfers) override { weights_tell = tell_transfers; }
+  void set_purges(Sec purge_settles) override { settles = purge_settles; }
+  void set_clients(bool marked, Sec pause) override {
+    marks_repeats = marked;
+    longest_pause = pause;
+  }
+  void set_list(bool must_ask) override { asks = must_ask; }
+  void clock(Sec at) override { now = at; }
+  void list_begin(bool whole) override {
+    for (auto& x : members) x.named = !whole;
+  }
+  void list_end() override {
+    for (auto& x : members) x.listed = x.listed && x.named;  // not in a whole list: gone
+  }
+  void list_failed() override { ask_at = now + 1; }
+  void txn_left(int i) override { finish(txns[i]); }
+  void purged(std::uint64_t object, Sec ago) override { note_purge(purged_objects, object, ago); }
+  void purged_group(std::uint32_t group, Sec ago) override { note_purge(purged_groups, group, ago); }
+  void woken() override {
+    if (now >= woken_for - 1e-6) woken_for = kNever;
+  }
+
+ private:
   std::mt19937 chance;
   Sec now = 0, woken_for = kNever, tick_at = 0, halve_at = 0;
   int here = 0, seats = 1, routers = 1, par_kind = -1, origin_kind = -1, most_hops = 1;
-  bool direct = false, second_copies = false, can_call_off = false, can_probe = false, joins = false;
-  bool marks_repeats = false;
+  bool direct = false, can_call_off = false, joins = false;
+  bool marks_repeats = false, weights_tell = false, asks = false;
+  Sec ask_at = 0;
   Siblings siblings = Siblings::none;
   Notes notes = Notes::none;
   double pace = 0;
   Sec cold_window = 1, settles = 0, longest_pause = 0;
   ColdRule cold_cache, cold_par;
-  std::vector<Value> report_names;
+  double fair[2] = {0, 0};  // caches, parents
   std::vector<RemapRule> rules;
   std::vector<double> mean_work;  // by rule: the mean sending time seen, seconds
 
@@ -185,7 +239,7 @@
   }
 
   void list_member(int m, std::uint64_t hash, int location, int kind, int cell, Listed state, double weight,
-                   Sec started) {
+                   Sec started) override {
     auto& x = member(m);
     const bool returns = x.seen && !x.listed;
     x.hash = hash;
@@ -294,15 +348,19 @@
 
   // ---- cold budgets (mechanism 3) ----------------------------------------------------------------------
 
-  // Each router spends by itself: its own fair rate, seen at warm members, stands for its part of one
-  // member's capacity, so all together keep inside the stated multiple without knowing of each other.
+  // Each router spends by itself, so that all together stay inside the stated multiple without knowing of
+  // each other. Its part of a member is the told size over the routers that may send there; where no size is
+  // told, the rate it lately got through warm members of that role, since all routers' rates together fit
+  // into one member.
   double cold_rate(const Member& x) const {
-    double fair = 0.25;  // a quarter of one transfer at full pace: less than any machine's part
-    for (const auto& y : members)
-      if (y.role == x.role && y.fair > 0) fair = std::max(fair, y.fair * x.weight / y.weight);
-    const auto& rule = rule_of(x);
-    return 0.6 * rule.multiple * rule.share(now - x.started) * fair;
-  }
+    constexpr double kMargin = 0.6;  // with the burst below nine tenths of the multiple in any window
+    constexpr double kLeast = 0.25;  // a quarter of one transfer: less than any machine's part
+    const bool par = x.role == Role::par;
+    const double part =
+        weights_tell ? x.weight / (par ? routers : seats) : std::max(kLeast, fair[par ? 1 : 0]);
+    return kMargin * rule_of(x).multiple * rule_of(x).share(now - x.started) * part;
+  }
+  // Hops count at their rule's mean, fills at a parent at their own work.
   bool cold_room(const Member& x, double work) const {
     if (!is_cold(x)) return true;
     const double rate = cold_rate(x);
@@ -315,10 +373,12 @@
     x.spent_at = now;
   }
   void served(Member& x, double work) {
-    constexpr Sec kOver = 2;  // the rate is smoothed over about the windows of the rule
+    constexpr Sec kOver = 4;  // smooths single heavy answers
     x.served = x.served * std::exp(-(now - x.served_at) / kOver) + work / kOver;
     x.served_at = now;
-    if (!is_cold(x)) x.fair = std::max(x.fair * 0.9998, x.served);
+    if (is_cold(x) || x.role == Role::origin) return;
+    auto& f = fair[x.role == Role::par ? 1 : 0];
+    f += (x.served - f) * 0.01;  // a few seconds of answers
   }
 
   // ---- purges (mechanism 5) ----------------------------------------------------------------------------
@@ -404,7 +464,7 @@
 
   Place pick(Txn& t) {
     Place p;
-    const double work = work_of(t), w = fill_weight(t);
+    const double work = mean_work[t.rule], w = fill_weight(t);
     const auto& e = counts.at(t.object, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
     const auto caches = order(t.object, Role::cache);
@@ -537,7 +597,7 @@
     x.hops.used += 1;
     if (x.role != Role::cache) x.fills.used += h.weight;
     if (h.fill || x.role != Role::cache) link.used += h.weight;
-    spend(x, work);
+    spend(x, x.role == Role::cache ? mean_work[t.rule] : work);
     if (p.source >= 0 && p.source != p.member) {
       auto& s = members[p.source];
       if (h.fill) {
@@ -545,7 +605,7 @@
         s.fills.used += h.weight;
         x.fills.used += h.weight;
       }
-      spend(s, work);
+      spend(s, s.role == Role::cache ? mean_work[t.rule] : work);
     }
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
     d.rank = t.keep && x.role == Role::cache && !r.uncacheable ? kMiddleRank : 0;
@@ -558,7 +618,7 @@
   }
 
   void txn_taken(int i, int rule, std::uint64_t object, int part, std::uint32_t group, double kbytes,
-                 Sec expires, bool repeat) {
+                 Sec expires, bool repeat) override {
     if (i >= static_cast<int>(txns.size())) txns.resize(i + 1);
     auto& t = txns[i];
     t = Txn{.live = true,
@@ -596,7 +656,7 @@
     }
   }
 
-  void hop_ended(int i, int n, Verdict v, Note note, Sec took, bool over) {
+  void hop_ended(int i, int n, Verdict v, Note note, Sec took, bool over) override {
     auto& t = txns[i];
     if (n < 0 || n >= static_cast<int>(t.hops.size()) || !t.hops[n].out) return;
     auto& h = t.hops[n];
@@ -615,7 +675,7 @@
       if (x.trial > 0 && x.role == Role::cache) x.hops.cap = std::max(2.0, x.hops.cap);
       if (is_cold(x)) x.hops.cap += 0.25, x.fills.cap += 0.25;  // a fresh cap grows with its answers
       went_well(h.member);
-      served(x, work);
+      served(x, x.role == Role::cache ? mean_work[t.rule] : work);
       const bool late = took > r.sla_time + r.sla_stretch * work;
       const bool was_hit = note == Note::hit || note == Note::old_copy;
       if (was_hit && (t.kbytes <= 0 || pace <= 0)) mean_work[t.rule] += (took - mean_work[t.rule]) * 0.02;
@@ -709,6 +769,10 @@
     forget_purges(purged_objects);
     forget_purges(purged_groups);
     look_for_silence();
+    if (asks && now >= ask_at) {
+      ask_at = kNever;  // once; again only after a failed call
+      say({.kind = Decision::Kind::subscribe});
+    }
   }
 
   // Those that wait for room go first by importance for the work they ask, then by age.
@@ -725,7 +789,7 @@
     for (const int i : now_ready) decide(i);
   }
 
-  std::optional<Decision> next() {
+  std::optional<Decision> next() override {
     if (said_from < said.size()) return said[said_from++];
     said.clear();
     said_from = 0;
@@ -745,80 +809,8 @@
   }
 };
 
-// ---- the interface ---------------------------------------------------------------------------------------
-
-Brain::Brain(std::uint32_t seed) : mind_(std::make_unique<Mind>(seed)) {}
-Brain::Brain(Brain&&) noexcept = default;
-Brain& Brain::operator=(Brain&&) noexcept = default;
-Brain::~Brain() = default;
+}  // namespace
 
-void Brain::set_place(int location, int seats_here, int routers) {
-  mind_->here = location;
-  mind_->seats = std::max(1, seats_here);
-  mind_->routers = std::max(1, routers);
-}
-void Brain::set_roles(int par_kind, int origin_kind, bool direct) {
-  mind_->par_kind = par_kind;
-  mind_->origin_kind = origin_kind;
-  mind_->direct = direct;
-}
-void Brain::add_rule(const RemapRule& rule) {
-  mind_->rules.push_back(rule);
-  mind_->mean_work.push_back(rule.sla_time);  // until hits tell: an SLA time is longer than most sendings
-}
-void Brain::set_hops(int most, bool second_copies, bool can_call_off, bool can_probe) {
-  mind_->most_hops = most;
-  mind_->second_copies = second_copies;
-  mind_->can_call_off = can_call_off;
-  mind_->can_probe = can_probe;
-}
-void Brain::set_fills(Siblings siblings, bool join, Notes notes, double client_kb_per_s) {
-  mind_->siblings = siblings;
-  mind_->joins = join;
-  mind_->notes = notes;
-  mind_->pace = client_kb_per_s;
-}
-void Brain::set_reports(const std::vector<Value>& names) { mind_->report_names = names; }
-void Brain::set_cold_caches(double from, Sec warm_after, double fall_multiple, Sec fall_window) {
-  mind_->cold_cache = {from, fall_multiple, warm_after};
-  mind_->cold_window = fall_window;
-}
-void Brain::set_cold_pars(double from, Sec warm_after, double fall_multiple) {
-  mind_->cold_par = {from, fall_multiple, warm_after};
-}
-void Brain::set_purges(Sec settles) { mind_->settles = settles; }
-void Brain::set_clients(bool marks_repeats, Sec longest_pause) {
-  mind_->marks_repeats = marks_repeats;
-  mind_->longest_pause = longest_pause;
-}
-void Brain::clock(Sec now) { mind_->now = now; }
-void Brain::list_begin(bool whole) {
-  for (auto& x : mind_->members) x.named = !whole;
-}
-void Brain::list_member(int member, std::uint64_t hash, int location, int kind, int cell, Listed state,
-                        double weight, Sec started) {
-  mind_->list_member(member, hash, location, kind, cell, state, weight, started);
-}
-void Brain::list_end() {
-  for (auto& x : mind_->members) x.listed = x.listed && x.named;  // not in a whole list: gone
-}
-void Brain::txn_taken(int txn, int rule, std::uint64_t object, int part, std::uint32_t group, double kbytes,
-                      Sec expires, bool repeat) {
-  mind_->txn_taken(txn, rule, object, part, group, kbytes, expires, repeat);
-}
-void Brain::txn_left(int txn) { mind_->finish(mind_->txns[txn]); }
-void Brain::hop_ended(int txn, int hop, int, Verdict verdict, Note note, Sec took, Sec, bool txn_over,
-                      const std::vector<double>&) {
-  mind_->hop_ended(txn, hop, verdict, note, took, txn_over);
-}
-void Brain::probed(int, Verdict, Sec, const std::vector<double>&) {}
-void Brain::purged(std::uint64_t object, Sec ago) { mind_->note_purge(mind_->purged_objects, object, ago); }
-void Brain::purged_group(std::uint32_t group, Sec ago) {
-  mind_->note_purge(mind_->purged_groups, group, ago);
-}
-void Brain::woken() {
-  if (mind_->now >= mind_->woken_for - 1e-6) mind_->woken_for = kNever;
-}
-std::optional<Decision> Brain::next() { return mind_->next(); }
+std::unique_ptr<Brain> make_brain(std::uint32_t seed) { return std::make_unique<Mind>(seed); }
 
 }  // namespace walkpaddle
--- a/src/brain.h
+++ b/src/brain.h
@@ -15,11 +15,10 @@
 using Sec = double;
 
 enum class Effect { repeatable, keyed, unrepeatable };
-enum class Group { all, location, cell };                     // who drops the repeats of a keyed txn
-enum class Listed { gone, ready, draining };                  // what the list says of a member
-enum class Siblings { none, location, any };                  // which caches can supply a fill
-enum class Notes { none, hit, all };                          // how much an answer tells of its fill
-enum class Value { inflight, util, hit_share, link, other };  // what a load report holds
+enum class Group { all, location, cell };     // who drops the repeats of a keyed txn
+enum class Listed { gone, ready, draining };  // what the list says of a member
+enum class Siblings { none, location, any };  // which caches can supply a fill
+enum class Notes { none, hit, all };          // how much an answer tells of its fill
 enum class Verdict {
   completed,
   error,
@@ -62,7 +61,7 @@
 };
 
 struct Decision {
-  enum class Kind { look, deliver, reject, abort, call_off, probe, wake, remark };
+  enum class Kind { look, deliver, reject, abort, call_off, probe, wake, remark, subscribe };
   Kind kind = Kind::wake;
   int txn = -1;
   int member = -1;
@@ -80,44 +79,39 @@
 
 class Brain {
  public:
-  explicit Brain(std::uint32_t seed);
-  Brain(Brain&&) noexcept;
-  Brain& operator=(Brain&&) noexcept;
-  ~Brain();
+  virtual ~Brain() = default;
 
   // Settings, before the first input; each part takes its own few.
-  void set_place(int location, int seats_here, int routers);
-  void set_roles(int par_kind, int origin_kind, bool direct);
-  void add_rule(const RemapRule& rule);
-  void set_hops(int most, bool second_copies, bool can_call_off, bool can_probe);
-  void set_fills(Siblings siblings, bool join, Notes notes, double client_kb_per_s);
-  void set_reports(const std::vector<Value>& names);
-  void set_cold_caches(double from, Sec warm_after, double fall_multiple, Sec fall_window);
-  void set_cold_pars(double from, Sec warm_after, double fall_multiple);
-  void set_purges(Sec settles);
-  void set_clients(bool marks_repeats, Sec longest_pause);
+  virtual void set_place(int location, int seats_here, int routers) = 0;
+  virtual void set_roles(int par_kind, int origin_kind, bool direct) = 0;
+  virtual void add_rule(const RemapRule& rule) = 0;
+  virtual void set_hops(int most, bool second_copies, bool can_call_off, bool can_probe) = 0;
+  virtual void set_fills(Siblings siblings, bool join, Notes notes, double client_kb_per_s) = 0;
+  virtual void set_cold_caches(double from, Sec warm_after, double fall_multiple, Sec fall_window) = 0;
+  virtual void set_cold_pars(double from, Sec warm_after, double fall_multiple) = 0;
+  virtual void set_weights(bool tell_transfers) = 0;  // weights are links, in transfers at a client's pace
+  virtual void set_purges(Sec settles) = 0;
+  virtual void set_clients(bool marks_repeats, Sec longest_pause) = 0;
+  virtual void set_list(bool must_ask) = 0;
 
   // Inputs.
-  void clock(Sec now);
-  void list_begin(bool whole);
-  void list_member(int member, std::uint64_t hash, int location, int kind, int cell, Listed state,
-                   double weight, Sec started);  // started 0: long ago
-  void list_end();
-  void txn_taken(int txn, int rule, std::uint64_t object, int part, std::uint32_t group, double kbytes,
-                 Sec expires, bool repeat);
-  void txn_left(int txn);
-  void hop_ended(int txn, int hop, int member, Verdict verdict, Note note, Sec took, Sec waited,
-                 bool txn_over, const std::vector<double>& report);
-  void probed(int member, Verdict verdict, Sec took, const std::vector<double>& report);
-  void purged(std::uint64_t object, Sec ago);
-  void purged_group(std::uint32_t group, Sec ago);
-  void woken();
+  virtual void clock(Sec now) = 0;
+  virtual void list_begin(bool whole) = 0;
+  virtual void list_member(int member, std::uint64_t hash, int location, int kind, int cell, Listed state,
+                           double weight, Sec started) = 0;  // started 0: long ago
+  virtual void list_end() = 0;
+  virtual void list_failed() = 0;
+  virtual void txn_taken(int txn, int rule, std::uint64_t object, int part, std::uint32_t group,
+                         double kbytes, Sec expires, bool repeat) = 0;
+  virtual void txn_left(int txn) = 0;
+  virtual void hop_ended(int txn, int hop, Verdict verdict, Note note, Sec took, bool txn_over) = 0;
+  virtual void purged(std::uint64_t object, Sec ago) = 0;
+  virtual void purged_group(std::uint32_t group, Sec ago) = 0;
+  virtual void woken() = 0;
 
-  std::optional<Decision> next();
-
- private:
-  struct Mind;
-  std::unique_ptr<Mind> mind_;
+  virtual std::optional<Decision> next() = 0;
 };
 
+std::unique_ptr<Brain> make_brain(std::uint32_t seed);
+
 }  // namespace walkpaddle
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -157,7 +157,7 @@
     touched_.clear();
     faults_.clear();
     out_.clear();
-    for (auto& [number, in] : instances_) in.brain.clock(now);
+    for (auto& [number, in] : instances_) in.brain->clock(now);
     clock_ = now;
     return false;
   }
@@ -220,28 +220,21 @@
     if (name == "QUERY") return query(in, f);
     if (name == "COMPLETED") return completed(in, f);
     if (name == "TOPOLOGY") return topology(in, f);
-    if (name == "ELAPSED") return in.brain.woken();
+    if (name == "ELAPSED") return in.brain->woken();
     if (name == "HANGUP") {
       const auto at = in.txn_of.find(static_cast<std::uint32_t>(f.integer("msg_id")));
       if (at == in.txn_of.end()) return;
       in.txns[at->second].over = true;
-      in.brain.txn_left(at->second);
+      in.brain->txn_left(at->second);
       return close_if_done(in, at->second);
     }
     if (name == "WITHDRAWN_COPY") {
       const Sec ago = f.number("oldness") / 1e3;
       const auto tag = static_cast<std::uint32_t>(f.integer_or(0, "tag"));
       const auto object = f.text_or("0");
-      return object == "0" ? in.brain.purged_group(tag, ago) : in.brain.purged(stable_hash(object), ago);
+      return object == "0" ? in.brain->purged_group(tag, ago) : in.brain->purged(stable_hash(object), ago);
     }
-    if (name == "PONG") {
-      const Sec took = f.ms_or(0, "time_taken");
-      const int who = member(in, f.text("server"));
-      const auto verdict = verdict_of(f.integer("verdict"));
-      report(f.text_or(""));
-      return in.brain.probed(who, verdict, took, row_);
-    }
-    if (name == "STREAMING" || name == "WHISPER") return;  // no streamed rules and no peers here
+    if (name == "STREAMING" || name == "WHISPER" || name == "PONG") return;  // nothing here asks for them
     throw Malformed("unknown message");
   });
 }
@@ -254,7 +247,7 @@
   auto& in = instances_.try_emplace(number, static_cast<std::uint32_t>(seed ^ (seed >> 32))).first->second;
   touch(number);
   guarded(number, [&] {
-    auto& b = in.brain;
+    auto& b = *in.brain;
     b.clock(clock_);
     const int here = s.whole("locality");
     b.set_place(here, static_cast<int>(s.item_number("specifics.seats_by_zone", here)),
@@ -271,20 +264,13 @@
         s.flag("specifics.merges_fills"),
         choose(s.text("specifics.notes_given"), {{"all", Notes::all}, {"hit", Notes::hit}}, Notes::none),
         s.number("specifics.client_kb_per_s"));
-    std::vector<Value> names;
-    auto rest = s.text("report.names");
-    while (!rest.empty())
-      names.push_back(choose(cut(rest, ','),
-                             {{"inflight", Value::inflight},
-                              {"util", Value::util},
-                              {"x0", Value::hit_share},
-                              {"x1", Value::link}},
-                             Value::other));
-    b.set_reports(names);
     b.set_cold_caches(s.number("rules.cold_from", 1), s.ms("rules.warm_after"),
                       s.number("rules.fall_multiple", 1), s.ms("rules.overload_for"));
     b.set_cold_pars(s.number("specifics.upper_cold_from", 1), s.ms("specifics.parent_warms_in"),
                     s.number("specifics.upper_fall_multiple", 1));
+    const auto weights = s.text("weights");
+    b.set_weights(weights == "nominal" || weights == "rough");
+    b.set_list(s.text("registry_mode") == "ask");
     b.set_purges(s.ms("specifics.purge_settles"));
     b.set_clients(s.flag("client_habits.marks_retry"),
                   s.flag("allowed.retry_after") ? s.ms("allowed.max_retry_after") : 0);
@@ -308,15 +294,15 @@
 void Host::topology(Instance& in, Fields& f) {
   const auto how = f.integer("how");
   if (how > 3) bad("how", std::to_string(how));
-  if (how == 3) return;
+  if (how == 3) return in.brain->list_failed();
   f.integer_or(0, "serial");
   const auto bank = f.integer("bank");
   if (bank >= rosters_.size()) bad("bank", std::to_string(bank));
-  in.brain.list_begin(how != 1);
+  in.brain->list_begin(how != 1);
   for (const auto& e : rosters_[bank])
-    in.brain.list_member(member(in, e.server), e.hash, e.location, e.kind, e.cell, e.state, e.weight,
-                         e.started);
-  in.brain.list_end();
+    in.brain->list_member(member(in, e.server), e.hash, e.location, e.kind, e.cell, e.state, e.weight,
+                          e.started);
+  in.brain->list_end();
 }
 
 void Host::query(Instance& in, Fields& f) {
@@ -338,27 +324,26 @@
   }
   in.txns[slot] = {id, 0, false};
   in.txn_of[id] = slot;
-  in.brain.txn_taken(slot, rule, object, part, group, kbytes, expires, repeat);
+  in.brain->txn_taken(slot, rule, object, part, group, kbytes, expires, repeat);
 }
 
 void Host::completed(Instance& in, Fields& f) {
   const auto id = static_cast<std::uint32_t>(f.integer("msg_id"));
   const bool over = f.flag("ended");
-  const auto server = f.text("server");
-  const Sec waited = f.ms_or(0, "fill_wait");
+  f.text("server");
+  f.number_or(0, "fill_wait");
   const auto verdict = verdict_of(f.integer("verdict"));
   const auto note = f.integer_or(0, "note");
   const int hop = static_cast<int>(f.integer_or(0, "n"));
   const Sec took = f.ms_or(0, "time_taken");
-  report(f.text_or(""));
   const auto at = in.txn_of.find(id);
   if (at == in.txn_of.end()) return;
   const int txn = at->second;
   auto& t = in.txns[txn];
   if (t.out > 0) --t.out;
   t.over = t.over || over;
-  in.brain.hop_ended(txn, hop, member(in, server), verdict,
-                     note < 0 || note > 10 ? Note::none : static_cast<Note>(note), took, waited, over, row_);
+  in.brain->hop_ended(txn, hop, verdict, note < 0 || note > 10 ? Note::none : static_cast<Note>(note), took,
+                      over);
   close_if_done(in, txn);
 }
 
@@ -375,16 +360,8 @@
   in.free_txns.push_back(txn);
 }
 
-void Host::report(std::string_view row) {
-  row_.clear();
-  while (!row.empty()) {
-    const auto value = cut(row, ',');
-    row_.push_back(value.empty() || value == "-" ? 0 : parse<double>(value, "telemetry"));
-  }
-}
-
 void Host::pull(int number, Instance& in) {
-  while (const auto d = in.brain.next()) write(number, in, *d);
+  while (const auto d = in.brain->next()) write(number, in, *d);
 }
 
 void Host::put_number(double value) {
@@ -446,6 +423,10 @@
       put_ms(d.time);
       out_ += " wake";
       break;
+    case Kind::subscribe:
+      head("SUBSCRIBE");
+      whole(1);
+      break;
     case Kind::remark:
       head("REMARK");
       out_ += ' ';
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -59,8 +60,8 @@
     bool over = false;
   };
   struct Instance {
-    explicit Instance(std::uint32_t seed) : brain(seed) {}
-    Brain brain;
+    explicit Instance(std::uint32_t seed) : brain(make_brain(seed)) {}
+    std::unique_ptr<Brain> brain;
     std::unordered_map<std::string, int> member_of;
     std::vector<std::string> members;
     std::unordered_map<std::uint32_t, int> txn_of;
@@ -83,12 +84,10 @@
   void write(int number, Instance& in, const Decision& d);
   void put_number(double value);
   void put_ms(Sec value) { put_number(value * 1e3); }
-  void report(std::string_view row);
 
   std::unordered_map<int, Instance> instances_;
   std::vector<int> touched_;
   std::vector<std::vector<Entry>> rosters_ = std::vector<std::vector<Entry>>(16);
-  std::vector<double> row_;
   std::vector<std::pair<int, std::string>> faults_;
   std::string out_;
   std::string seq_;
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -60,7 +60,8 @@
 }  // namespace
 
 int main() {
-  Brain brain(7);
+  const auto owned = make_brain(7);
+  auto& brain = *owned;
   Sec now = 1000;
   std::set<Sec> wakes;
   std::vector<std::string> members, txns;
@@ -152,10 +153,9 @@
                         l.num("kb"), now + l.num("for", 5), l.num("repeat") > 0);
     } else if (what == "ended") {
       const auto verdict = static_cast<Verdict>(l.pick("as", kVerdicts));
-      const auto who = l.pairs.count("by") ? index_of(members, l.pairs.at("by")) : 0;
-      brain.hop_ended(index_of(txns, l.words[1]), static_cast<int>(l.num("hop")), who, verdict,
-                      static_cast<Note>(l.pick("note", kNotes)), l.num("took", 0.1), 0,
-                      l.num("over", verdict == Verdict::completed) > 0, {});
+      brain.hop_ended(index_of(txns, l.words[1]), static_cast<int>(l.num("hop")), verdict,
+                      static_cast<Note>(l.pick("note", kNotes)), l.num("took", 0.1),
+                      l.num("over", verdict == Verdict::completed) > 0);
     } else if (what == "left") {
       brain.txn_left(index_of(txns, l.words[1]));
     } else if (what == "purge") {
