Move lost hops, cut the limit of a late source, learn sending times from quiet caches

Should also catch frozen members and partial loss between a router and some members. Harm: a big object of untold size may be called off once.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -64,8 +64,7 @@
   }
 
  private:
-  static constexpr std::size_t kSets = 4096,
-                               kWays = 4;  // some minutes of objects at a few hundred txns a second
+  static constexpr std::size_t kSets = 4096, kWays = 4;  // minutes of objects at some hundred txns a second
   std::vector<Entry> table_ = std::vector<Entry>(kSets * kWays);
 };
 
@@ -77,8 +76,7 @@
   Sec cut_at = -kNever;
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
   void answered(bool was_late, Sec now) {
-    constexpr double kLately = 0.1,
-                     kTooMany = 0.3;  // of sizes that vary widely a tenth looks late on a good day
+    constexpr double kLately = 0.1, kTooMany = 0.3;  // sizes vary: a tenth looks late on a good day
     late += ((was_late ? 1 : 0) - late) * kLately;
     if (late > kTooMany)
       cut(now);
@@ -93,15 +91,6 @@
   }
 };
 
-// Mechanism 3's figures for one kind of member.
-struct ColdRule {
-  double from = 1, multiple = 1;
-  Sec warm_after = 0;
-  double share(Sec age) const {
-    return warm_after <= 0 ? 1 : std::min(1.0, from + (1 - from) * std::max(0.0, age) / warm_after);
-  }
-};
-
 enum class Role { cache, par, origin };
 
 struct Member {
@@ -125,7 +114,7 @@
 
 struct Hop {
   int member = -1, source = -1;
-  bool out = true, failed = false, moving = false, fill = false, held_only = false;
+  bool out = true, failed = false, source_failed = false, moving = false, fill = false, held_only = false;
   Sec sent = 0;
   double weight = 0;
 };
@@ -150,43 +139,21 @@
  public:
   explicit Mind(std::uint32_t seed) : chance(seed) {}
 
-  void set_place(int location, int seats_here, int all_routers) override {
-    here = location;
-    seats = std::max(1, seats_here);
-    routers = std::max(1, all_routers);
-  }
-  void set_roles(int par, int origin, bool takes_direct) override {
-    par_kind = par;
-    origin_kind = origin;
-    direct = takes_direct;
-  }
+  void set_place(const Place& p) override { place = p; }
+  void set_roles(const Roles& r) override { roles = r; }
   void add_rule(const RemapRule& rule) override {
     rules.push_back(rule);
+    excess.emplace_back(rule.sla_time, rule.sla_time);
     mean_work.push_back(rule.sla_time);  // until hits tell: an SLA time is longer than most sendings
   }
-  void set_hops(int most, bool, bool call_off, bool) override {
-    most_hops = most;
-    can_call_off = call_off;
-  }
-  void set_fills(Siblings from, bool join, Notes given, double client_kb_per_s) override {
-    siblings = from;
-    joins = join;
-    notes = given;
-    pace = client_kb_per_s;
-  }
-  void set_cold_caches(double from, Sec warm_after, double fall_multiple, Sec fall_window) override {
-    cold_cache = {from, fall_multiple, warm_after};
-    cold_window = fall_window;
-  }
-  void set_cold_pars(double from, Sec warm_after, double fall_multiple) override {
-    cold_par = {from, fall_multiple, warm_after};
+  void set_hopping(const Hopping& h) override { hopping = h; }
+  void set_filling(const Filling& f) override { filling = f; }
+  void set_cold(const ColdStart& caches, const ColdStart& pars) override {
+    cold_cache = caches, cold_par = pars;
   }
   void set_weights(bool tell_transfers) override { weights_tell = tell_transfers; }
   void set_purges(Sec purge_settles) override { settles = purge_settles; }
-  void set_clients(bool marked, Sec pause) override {
-    marks_repeats = marked;
-    longest_pause = pause;
-  }
+  void set_clients(const Clients& c) override { clients = c; }
   void set_list(bool must_ask) override { asks = must_ask; }
   void clock(Sec at) override { now = at; }
   void list_begin(bool whole) override {
@@ -206,18 +173,19 @@
  private:
   std::mt19937 chance;
   Sec now = 0, woken_for = kNever, tick_at = 0, halve_at = 0;
-  int here = 0, seats = 1, routers = 1, par_kind = -1, origin_kind = -1, most_hops = 1;
-  bool direct = false, can_call_off = false, joins = false;
-  bool marks_repeats = false, weights_tell = false, asks = false;
-  Sec ask_at = 0;
-  Siblings siblings = Siblings::none;
-  Notes notes = Notes::none;
-  double pace = 0;
-  Sec cold_window = 1, settles = 0, longest_pause = 0;
-  ColdRule cold_cache, cold_par;
+  Sec ask_at = 0, settles = 0;
+  bool weights_tell = false, asks = false;
+  Place place;
+  Roles roles;
+  Hopping hopping;
+  Filling filling;
+  Clients clients;
+  ColdStart cold_cache, cold_par;
   double fair[2] = {0, 0};  // caches, parents
   std::vector<RemapRule> rules;
-  std::vector<double> mean_work;  // by rule: the mean sending time seen, seconds
+  std::vector<double> mean_work;                  // by rule: the mean sending time seen, seconds
+  std::vector<std::pair<double, double>> excess;  // by rule: mean, deviation of hop times past the sending
+  double moves = 10;
 
   Counts counts;
   std::vector<Member> members;
@@ -246,7 +214,9 @@
     x.location = location;
     x.kind = kind;
     x.cell = cell;
-    x.role = kind == origin_kind ? Role::origin : kind == par_kind && par_kind >= 0 ? Role::par : Role::cache;
+    x.role = kind == roles.origin_kind             ? Role::origin
+             : kind == roles.par_kind && kind >= 0 ? Role::par
+                                                   : Role::cache;
     x.weight = weight > 0 ? weight : 1;
     x.ready = state == Listed::ready;
     if (state == Listed::gone) {
@@ -272,7 +242,7 @@
     x.aside_until = -kNever;
   }
 
-  const ColdRule& rule_of(const Member& x) const { return x.role == Role::par ? cold_par : cold_cache; }
+  const ColdStart& rule_of(const Member& x) const { return x.role == Role::par ? cold_par : cold_cache; }
   bool is_cold(const Member& x) const {
     return x.role != Role::origin && now - x.started < rule_of(x).warm_after;
   }
@@ -290,15 +260,15 @@
 
   void went_wrong(int m, bool hard) {
     auto& x = members[m];
-    x.failing += (1 - x.failing) * 0.2;
-    if (hard || x.failing > 0.4 || x.trial > 0) {
+    x.failing += (1 - x.failing) * 0.1;
+    if (hard || x.failing > 0.3 || x.trial > 0) {
       if (now >= x.aside_until) set_aside(x);
     }
   }
 
   void went_well(int m) {
     auto& x = members[m];
-    x.failing *= 0.8;
+    x.failing *= 0.9;
     if (x.trial > 0 && now >= x.aside_until && --x.trial == 0) x.hold = 0;
   }
 
@@ -331,21 +301,42 @@
           if (const int m = stuck(h); m >= 0) ++waiting[m];
     for (std::size_t m = 0; m < members.size(); ++m)
       if (waiting[m] >= 2 && now >= members[m].aside_until) set_aside(members[m]);
-    if (!can_call_off) return;
+    if (!hopping.can_call_off) return;
     for (std::size_t i = 0; i < txns.size(); ++i) {
       auto& t = txns[i];
       if (!t.live || rules[t.rule].effect != Effect::repeatable) continue;
       for (std::size_t n = 0; n < t.hops.size(); ++n) {
         auto& h = t.hops[n];
         if (!h.out || h.moving) continue;
-        const int m = stuck(h);
-        if (m < 0 || now >= members[m].aside_until) continue;
+        int m = stuck(h);
+        if (m < 0 || now >= members[m].aside_until) {
+          // Guards against hops that are lost one by one while their member answers others.
+          if (now - h.sent < patience_of(t) || moves < 1) continue;
+          moves -= 1;
+          m = h.fill ? h.source : h.member;
+          (h.fill ? members[m].fills : members[m].hops).answered(true, now);
+        }
         h.moving = true;
+        (m == h.member ? h.failed : h.source_failed) = true;
         say({.kind = Decision::Kind::call_off, .txn = static_cast<int>(i), .hop = static_cast<int>(n)});
       }
     }
   }
 
+  // How long a hop of this txn may take before it is held for lost: well past what its rule's hops lately
+  // took beyond the told sending time.
+  Sec patience_of(const Txn& t) const {
+    const auto& e = excess[t.rule];
+    return (t.kbytes > 0 ? work_of(t) : 0) + e.first + 8 * e.second;
+  }
+  void took_so_long(const Txn& t, Sec took) {
+    auto& [mean, dev] = excess[t.rule];
+    const double over = took - (t.kbytes > 0 ? work_of(t) : 0);
+    dev += (std::abs(over - mean) - dev) * 0.02;  // some seconds of answers
+    mean += (over - mean) * 0.02;
+    moves = std::min(moves + 0.1, 10.0);  // at most one txn in ten is moved so: no storm in a jam
+  }
+
   // ---- cold budgets (mechanism 3) ----------------------------------------------------------------------
 
   // Each router spends by itself, so that all together stay inside the stated multiple without knowing of
@@ -357,7 +348,7 @@
     constexpr double kLeast = 0.25;  // a quarter of one transfer: less than any machine's part
     const bool par = x.role == Role::par;
     const double part =
-        weights_tell ? x.weight / (par ? routers : seats) : std::max(kLeast, fair[par ? 1 : 0]);
+        weights_tell ? x.weight / (par ? place.routers : place.seats) : std::max(kLeast, fair[par ? 1 : 0]);
     return kMargin * rule_of(x).multiple * rule_of(x).share(now - x.started) * part;
   }
   // Hops count at their rule's mean, fills at a parent at their own work.
@@ -365,7 +356,7 @@
     if (!is_cold(x)) return true;
     const double rate = cold_rate(x);
     const double spent = std::max(0.0, x.spent - rate * (now - x.spent_at));
-    return spent <= 0 || spent + work <= rate * cold_window / 2;
+    return spent <= 0 || spent + work <= rate * rule_of(x).window / 2;
   }
   void spend(Member& x, double work) {
     if (!is_cold(x)) return;
@@ -417,7 +408,7 @@
     std::vector<std::pair<std::uint64_t, int>> ranked;
     for (std::size_t m = 0; m < members.size(); ++m) {
       const auto& x = members[m];
-      if (!x.listed || x.role != role || (role == Role::cache && x.location != here)) continue;
+      if (!x.listed || x.role != role || (role == Role::cache && x.location != place.location)) continue;
       ranked.emplace_back(mix(object ^ mix(x.hash)), static_cast<int>(m));
     }
     std::sort(ranked.rbegin(), ranked.rend());
@@ -430,14 +421,15 @@
     return std::any_of(t.hops.begin(), t.hops.end(), [&](const Hop& h) { return h.failed && h.member == m; });
   }
   static bool failed_from(const Txn& t, int m) {
-    return std::any_of(t.hops.begin(), t.hops.end(), [&](const Hop& h) { return h.failed && h.source == m; });
+    return std::any_of(t.hops.begin(), t.hops.end(),
+                       [&](const Hop& h) { return h.source_failed && h.source == m; });
   }
 
   double work_of(const Txn& t) const {
-    return t.kbytes > 0 && pace > 0 ? t.kbytes / pace : mean_work[t.rule];
+    return t.kbytes > 0 && filling.pace > 0 ? t.kbytes / filling.pace : mean_work[t.rule];
   }
   double fill_weight(const Txn& t) const {
-    return t.kbytes > 0 && pace > 0 && mean_work[t.rule] > 0 ? work_of(t) / mean_work[t.rule] : 1;
+    return t.kbytes > 0 && filling.pace > 0 && mean_work[t.rule] > 0 ? work_of(t) / mean_work[t.rule] : 1;
   }
 
   // The first in order that is usable and fits; without room everywhere the txn waits.
@@ -457,13 +449,13 @@
     return first_of(order(t.object, Role::origin), room);
   }
 
-  struct Place {
+  struct Route {
     int member = -1, source = -1;
     bool held_only = false;
   };
 
-  Place pick(Txn& t) {
-    Place p;
+  Route pick(Txn& t) {
+    Route p;
     const double work = mean_work[t.rule], w = fill_weight(t);
     const auto& e = counts.at(t.object, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
@@ -484,8 +476,8 @@
              (!fill || (x.fills.room(w) && link.room(w))) && cold_room(x, work);
     });
     if (p.member >= 0) {
-      if (!t.keep && siblings != Siblings::none && sib_known && e.sib != p.member && usable(members[e.sib]) &&
-          !failed_from(t, e.sib) && cold_room(members[e.sib], work)) {
+      if (!t.keep && filling.siblings != Siblings::none && sib_known && e.sib != p.member &&
+          usable(members[e.sib]) && !failed_from(t, e.sib) && cold_room(members[e.sib], work)) {
         p.source = e.sib;
         p.held_only = true;
         return p;
@@ -494,17 +486,17 @@
       if (p.source >= 0) return p;
     }
     // No cache of the location can take it: straight to a parent. Never because the caches are merely full.
-    if (!direct || !none_left || !link.room(w)) return {};
+    if (!roles.direct || !none_left || !link.room(w)) return {};
     p.member = p.source = pick_source(t, true);
     return p;
   }
 
   // An uncacheable rule goes straight to the origin, or through a cache where parents and origin take no
   // hops.
-  Place pass(const Txn& t) {
+  Route pass(const Txn& t) {
     const int origin = first_of(order(t.object, Role::origin), [](int) { return true; });
     if (origin < 0) return {};
-    if (direct) return {origin, origin, false};
+    if (roles.direct) return {origin, origin, false};
     const int cache = first_of(order(t.object, Role::cache),
                                [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); });
     return {cache, cache < 0 ? -1 : origin, false};
@@ -552,7 +544,7 @@
       e.owed = std::min(e.owed + 1, 20);
       e.owed_at = now;
     }
-    const Sec pause = std::min(longest_pause, 0.25);
+    const Sec pause = std::min(clients.longest_pause, 0.25);
     say({.kind = may_reject(t) ? Decision::Kind::reject : Decision::Kind::abort, .txn = i, .time = pause});
     finish(t);
   }
@@ -568,9 +560,9 @@
     if (!t.live || t.out > 0) return;
     const auto& r = rules[t.rule];
     constexpr Sec kLast = 0.015;  // no hop ends well in less
-    if (now > t.expires - kLast || static_cast<int>(t.hops.size()) >= most_hops || !may_hop_again(t))
+    if (now > t.expires - kLast || static_cast<int>(t.hops.size()) >= hopping.most || !may_hop_again(t))
       return give_up(i);
-    const Place p = r.uncacheable ? pass(t) : pick(t);
+    const Route p = r.uncacheable ? pass(t) : pick(t);
     if (p.member < 0 || !repeat_dropped_at(t, p.member)) {
       const Sec last = std::min(t.taken + r.sla_time, t.expires - 2 * kLast);
       if (now >= last) return give_up(i);
@@ -581,7 +573,7 @@
     send(i, p);
   }
 
-  void send(int i, const Place& p) {
+  void send(int i, const Route& p) {
     auto& t = txns[i];
     const auto& r = rules[t.rule];
     const auto& e = counts.at(t.object, now);
@@ -609,7 +601,7 @@
     }
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
     d.rank = t.keep && x.role == Role::cache && !r.uncacheable ? kMiddleRank : 0;
-    d.join = joins && !r.uncacheable;
+    d.join = filling.join && !r.uncacheable && t.hops.empty();  // a further hop must not wait for a lost fill
     d.held_only = p.held_only;
     if (!r.uncacheable) d.age = age_limit(t, false);
     t.hops.push_back(h);
@@ -630,10 +622,10 @@
             .kbytes = kbytes,
             .taken = now,
             .expires = expires};
-    if (kbytes > 0 && pace > 0) mean_work[rule] += (kbytes / pace - mean_work[rule]) * 0.02;
+    if (kbytes > 0 && filling.pace > 0) mean_work[rule] += (kbytes / filling.pace - mean_work[rule]) * 0.02;
     if (!rules[rule].uncacheable) {
       auto& e = counts.at(object, now);
-      const bool again = repeat || (!marks_repeats && e.owed > 0 && now - e.owed_at < 2);
+      const bool again = repeat || (!clients.mark_repeats && e.owed > 0 && now - e.owed_at < 2);
       if (again && e.owed > 0) --e.owed;
       if (!again && part == 0) e.count += 1;
       t.keep = e.count > kThreshold;
@@ -675,17 +667,18 @@
       if (x.trial > 0 && x.role == Role::cache) x.hops.cap = std::max(2.0, x.hops.cap);
       if (is_cold(x)) x.hops.cap += 0.25, x.fills.cap += 0.25;  // a fresh cap grows with its answers
       went_well(h.member);
+      took_so_long(t, took);
       served(x, x.role == Role::cache ? mean_work[t.rule] : work);
       const bool late = took > r.sla_time + r.sla_stretch * work;
       const bool was_hit = note == Note::hit || note == Note::old_copy;
-      if (was_hit && (t.kbytes <= 0 || pace <= 0)) mean_work[t.rule] += (took - mean_work[t.rule]) * 0.02;
+      if (was_hit && t.kbytes <= 0 && x.hops.used < 3) mean_work[t.rule] += (took - mean_work[t.rule]) * 0.02;
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
       if (!was_hit) link.answered(late, now);
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.answered(false, now);
+        s.fills.answered(late, now);
         x.fills.answered(false, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
@@ -697,8 +690,6 @@
     } else if (v != Verdict::called_off && v != Verdict::not_sent) {
       h.failed = true;
       blame(t, h, v, note);
-    } else if (h.moving) {
-      h.failed = true;
     }
     if (!proves_not_run(v) && v != Verdict::completed && t.may_have_run >= kNever) {
       t.may_have_run = h.sent;
@@ -718,6 +709,10 @@
   void blame(Txn& t, Hop& h, Verdict v, Note note) {
     auto& x = members[h.member];
     const bool other_source = h.source >= 0 && h.source != h.member;
+    if (other_source && note >= Note::source_refused && note != Note::no_fill_place) {
+      h.source_failed = true;  // the cache is as good as before
+      h.failed = false;
+    }
     switch (note) {
       case Note::source_lacks:
         if (auto& e = counts.at(t.object, now); e.sib == h.source) e.sib = -1;
@@ -727,7 +722,6 @@
         return;
       case Note::source_unreached:
         if (other_source) went_wrong(h.source, false);
-        h.failed = true;
         return;
       case Note::no_fill_place:
         x.fills.cut(now);
@@ -740,11 +734,13 @@
     if (v == Verdict::lacking) {
       if (h.held_only) {
         if (auto& e = counts.at(t.object, now); e.sib == h.source) e.sib = -1;
+        h.source_failed = true;
+        h.failed = false;
       }
       return;
     }
     if (v == Verdict::not_taken) {
-      if (other_source && notes != Notes::all)
+      if (other_source && filling.notes != Notes::all)
         members[h.source].fills.cut(now);
       else
         x.hops.cut(now), x.fills.cut(now);
@@ -752,6 +748,7 @@
     }
     if (v == Verdict::timed_out && now > t.expires - 0.02) {
       (h.fill || x.role != Role::cache ? link : x.hops).answered(true, now);
+      if (h.fill) members[h.source].fills.answered(true, now);
       return;
     }
     went_wrong(h.member, v != Verdict::error);
--- a/src/brain.h
+++ b/src/brain.h
@@ -60,6 +60,38 @@
   bool uncacheable = false;
 };
 
+// The settings, each part's own few.
+struct Place {
+  int location = 0;
+  int seats = 1;    // routers that serve this location
+  int routers = 1;  // all routers
+};
+struct Roles {
+  int par_kind = -1, origin_kind = -1;
+  bool direct = false;  // parents and the origin take hops too
+};
+struct Hopping {
+  int most = 1;
+  bool second_copies = false, can_call_off = false, can_probe = false;
+};
+struct Filling {
+  Siblings siblings = Siblings::none;
+  bool join = false;
+  Notes notes = Notes::none;
+  double pace = 0;  // KB a second that a client is sent at most
+};
+struct ColdStart {
+  double from = 1, multiple = 1;
+  Sec warm_after = 0, window = 1;
+  double share(Sec age) const {  // of the full capacity, at least
+    return age >= warm_after ? 1 : from + (1 - from) * (age > 0 ? age : 0) / warm_after;
+  }
+};
+struct Clients {
+  bool mark_repeats = false;
+  Sec longest_pause = 0;  // 0: none is told
+};
+
 struct Decision {
   enum class Kind { look, deliver, reject, abort, call_off, probe, wake, remark, subscribe };
   Kind kind = Kind::wake;
@@ -82,16 +114,15 @@
   virtual ~Brain() = default;
 
   // Settings, before the first input; each part takes its own few.
-  virtual void set_place(int location, int seats_here, int routers) = 0;
-  virtual void set_roles(int par_kind, int origin_kind, bool direct) = 0;
-  virtual void add_rule(const RemapRule& rule) = 0;
-  virtual void set_hops(int most, bool second_copies, bool can_call_off, bool can_probe) = 0;
-  virtual void set_fills(Siblings siblings, bool join, Notes notes, double client_kb_per_s) = 0;
-  virtual void set_cold_caches(double from, Sec warm_after, double fall_multiple, Sec fall_window) = 0;
-  virtual void set_cold_pars(double from, Sec warm_after, double fall_multiple) = 0;
+  virtual void set_place(const Place&) = 0;
+  virtual void set_roles(const Roles&) = 0;
+  virtual void add_rule(const RemapRule&) = 0;
+  virtual void set_hopping(const Hopping&) = 0;
+  virtual void set_filling(const Filling&) = 0;
+  virtual void set_cold(const ColdStart& caches, const ColdStart& pars) = 0;
   virtual void set_weights(bool tell_transfers) = 0;  // weights are links, in transfers at a client's pace
-  virtual void set_purges(Sec settles) = 0;
-  virtual void set_clients(bool marks_repeats, Sec longest_pause) = 0;
+  virtual void set_purges(Sec settle) = 0;
+  virtual void set_clients(const Clients&) = 0;
   virtual void set_list(bool must_ask) = 0;
 
   // Inputs.
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -250,30 +250,30 @@
     auto& b = *in.brain;
     b.clock(clock_);
     const int here = s.whole("locality");
-    b.set_place(here, static_cast<int>(s.item_number("specifics.seats_by_zone", here)),
-                s.whole("fleet_size", 1));
-    b.set_roles(s.whole("specifics.second_tier_kind", -1), s.whole("specifics.origin_kind", -1),
-                s.flag("specifics.direct"));
+    b.set_place({here, std::max(1, static_cast<int>(s.item_number("specifics.seats_by_zone", here))),
+                 std::max(1, s.whole("fleet_size", 1))});
+    b.set_roles({s.whole("specifics.second_tier_kind", -1), s.whole("specifics.origin_kind", -1),
+                 s.flag("specifics.direct")});
     const auto rules = static_cast<std::size_t>(s.number("categories.count"));
     for (std::size_t n = 0; n < rules; ++n) b.add_rule(rule_of(s, n));
-    b.set_hops(s.whole("allowed.max_attempts", 1), s.flag("allowed.second_copies"), s.flag("allowed.cancel"),
-               s.flag("allowed.probes"));
-    b.set_fills(
-        choose(s.text("specifics.peers_fill"), {{"location", Siblings::location}, {"any", Siblings::any}},
-               Siblings::none),
-        s.flag("specifics.merges_fills"),
-        choose(s.text("specifics.notes_given"), {{"all", Notes::all}, {"hit", Notes::hit}}, Notes::none),
-        s.number("specifics.client_kb_per_s"));
-    b.set_cold_caches(s.number("rules.cold_from", 1), s.ms("rules.warm_after"),
-                      s.number("rules.fall_multiple", 1), s.ms("rules.overload_for"));
-    b.set_cold_pars(s.number("specifics.upper_cold_from", 1), s.ms("specifics.parent_warms_in"),
-                    s.number("specifics.upper_fall_multiple", 1));
+    b.set_hopping({s.whole("allowed.max_attempts", 1), s.flag("allowed.second_copies"),
+                   s.flag("allowed.cancel"), s.flag("allowed.probes")});
+    b.set_filling(
+        {choose(s.text("specifics.peers_fill"), {{"location", Siblings::location}, {"any", Siblings::any}},
+                Siblings::none),
+         s.flag("specifics.merges_fills"),
+         choose(s.text("specifics.notes_given"), {{"all", Notes::all}, {"hit", Notes::hit}}, Notes::none),
+         s.number("specifics.client_kb_per_s")});
+    b.set_cold({s.number("rules.cold_from", 1), s.number("rules.fall_multiple", 1), s.ms("rules.warm_after"),
+                s.ms("rules.overload_for")},
+               {s.number("specifics.upper_cold_from", 1), s.number("specifics.upper_fall_multiple", 1),
+                s.ms("specifics.parent_warms_in"), s.ms("rules.overload_for")});
     const auto weights = s.text("weights");
     b.set_weights(weights == "nominal" || weights == "rough");
     b.set_list(s.text("registry_mode") == "ask");
     b.set_purges(s.ms("specifics.purge_settles"));
-    b.set_clients(s.flag("client_habits.marks_retry"),
-                  s.flag("allowed.retry_after") ? s.ms("allowed.max_retry_after") : 0);
+    b.set_clients({s.flag("client_habits.marks_retry"),
+                   s.flag("allowed.retry_after") ? s.ms("allowed.max_retry_after") : 0});
   });
 }
 
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -108,17 +108,15 @@
     if (what == "#") {
       std::printf("%s\n", text.c_str());
     } else if (what == "setup") {
-      brain.set_place(0, 1, static_cast<int>(l.num("routers", 2)));
-      brain.set_roles(8, 9, l.num("direct", 1) > 0);
-      brain.set_hops(static_cast<int>(l.num("hops", 6)), l.num("second") > 0, l.num("calloff", 1) > 0, false);
-      brain.set_fills(
-          static_cast<Siblings>(l.pick("siblings", {"none", "location", "any"})), l.num("join", 1) > 0,
-          l.pairs.count("notes") ? static_cast<Notes>(l.pick("notes", {"none", "hit", "all"})) : Notes::all,
-          1000);
-      brain.set_cold_caches(0.2, 16, l.num("multiple", 2), 2);
-      brain.set_cold_pars(0.08, 20, 2);
+      brain.set_place({0, 1, static_cast<int>(l.num("routers", 2))});
+      brain.set_roles({8, 9, l.num("direct", 1) > 0});
+      brain.set_hopping(
+          {static_cast<int>(l.num("hops", 6)), l.num("second") > 0, l.num("calloff", 1) > 0, false});
+      brain.set_filling({static_cast<Siblings>(l.pick("siblings", {"none", "location", "any"})),
+                         l.num("join", 1) > 0, l.num("notes", 1) > 0 ? Notes::all : Notes::none, 1000});
+      brain.set_cold({0.2, l.num("multiple", 2), 16, 2}, {0.08, 2, 20, 2});
       brain.set_purges(6);
-      brain.set_clients(l.num("marks", 1) > 0, 0.5);
+      brain.set_clients({l.num("marks", 1) > 0, 0.5});
     } else if (what == "rule") {
       RemapRule r;
       r.effect = static_cast<Effect>(l.pick("effect", {"repeatable", "keyed", "unrepeatable"}));
