--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -144,7 +144,7 @@
   void add_rule(const RemapRule& rule) override {
     rules.push_back(rule);
     excess.emplace_back(rule.sla_time, rule.sla_time);
-    mean_work.push_back(rule.sla_time);  // until hits tell: an SLA time is longer than most sendings
+    mean_work.emplace_back(rule.sla_time, 0);  // until hits tell: an SLA time is longer than most sendings
   }
   void set_hopping(const Hopping& h) override { hopping = h; }
   void set_filling(const Filling& f) override { filling = f; }
@@ -183,7 +183,7 @@
   ColdStart cold_cache, cold_par;
   double fair[2] = {0, 0};  // caches, parents
   std::vector<RemapRule> rules;
-  std::vector<double> mean_work;                  // by rule: the mean sending time seen, seconds
+  std::vector<std::pair<double, int>> mean_work;  // by rule: the mean sending time seen, seconds
   std::vector<std::pair<double, double>> excess;  // by rule: mean, deviation of hop times past the sending
   double moves = 10;
 
@@ -426,10 +426,12 @@
   }
 
   double work_of(const Txn& t) const {
-    return t.kbytes > 0 && filling.pace > 0 ? t.kbytes / filling.pace : mean_work[t.rule];
+    return t.kbytes > 0 && filling.pace > 0 ? t.kbytes / filling.pace : mean_work[t.rule].first;
   }
   double fill_weight(const Txn& t) const {
-    return t.kbytes > 0 && filling.pace > 0 && mean_work[t.rule] > 0 ? work_of(t) / mean_work[t.rule] : 1;
+    return t.kbytes > 0 && filling.pace > 0 && mean_work[t.rule].first > 0
+               ? work_of(t) / mean_work[t.rule].first
+               : 1;
   }
 
   // The first in order that is usable and fits; without room everywhere the txn waits.
@@ -456,7 +458,7 @@
 
   Route pick(Txn& t) {
     Route p;
-    const double work = mean_work[t.rule], w = fill_weight(t);
+    const double work = mean_work[t.rule].first, w = fill_weight(t);
     const auto& e = counts.at(t.object, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
     const auto caches = order(t.object, Role::cache);
@@ -502,6 +504,15 @@
     return {cache, cache < 0 ? -1 : origin, false};
   }
 
+  // The mean sending time of a rule, from told sizes or from hits at caches with little else in flight; the
+  // first few count whatever is in flight, so that the rules' order of work is known at once.
+  void learn_work(int rule, Sec took, double in_flight) {
+    constexpr int kFirst = 50;
+    auto& [mean, seen] = mean_work[rule];
+    if (seen >= kFirst && in_flight >= 3) return;
+    mean += (took - mean) / std::min(++seen, kFirst);
+  }
+
   // ---- txns --------------------------------------------------------------------------------------------
 
   void say(Decision d) { said.push_back(std::move(d)); }
@@ -589,7 +600,7 @@
     x.hops.used += 1;
     if (x.role != Role::cache) x.fills.used += h.weight;
     if (h.fill || x.role != Role::cache) link.used += h.weight;
-    spend(x, x.role == Role::cache ? mean_work[t.rule] : work);
+    spend(x, x.role == Role::cache ? mean_work[t.rule].first : work);
     if (p.source >= 0 && p.source != p.member) {
       auto& s = members[p.source];
       if (h.fill) {
@@ -597,7 +608,7 @@
         s.fills.used += h.weight;
         x.fills.used += h.weight;
       }
-      spend(s, s.role == Role::cache ? mean_work[t.rule] : work);
+      spend(s, s.role == Role::cache ? mean_work[t.rule].first : work);
     }
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
     d.rank = t.keep && x.role == Role::cache && !r.uncacheable ? kMiddleRank : 0;
@@ -622,7 +633,7 @@
             .kbytes = kbytes,
             .taken = now,
             .expires = expires};
-    if (kbytes > 0 && filling.pace > 0) mean_work[rule] += (kbytes / filling.pace - mean_work[rule]) * 0.02;
+    if (kbytes > 0 && filling.pace > 0) learn_work(rule, kbytes / filling.pace, 0);
     if (!rules[rule].uncacheable) {
       auto& e = counts.at(object, now);
       const bool again = repeat || (!clients.mark_repeats && e.owed > 0 && now - e.owed_at < 2);
@@ -668,10 +679,10 @@
       if (is_cold(x)) x.hops.cap += 0.25, x.fills.cap += 0.25;  // a fresh cap grows with its answers
       went_well(h.member);
       took_so_long(t, took);
-      served(x, x.role == Role::cache ? mean_work[t.rule] : work);
+      served(x, x.role == Role::cache ? mean_work[t.rule].first : work);
       const bool late = took > r.sla_time + r.sla_stretch * work;
       const bool was_hit = note == Note::hit || note == Note::old_copy;
-      if (was_hit && t.kbytes <= 0 && x.hops.used < 3) mean_work[t.rule] += (took - mean_work[t.rule]) * 0.02;
+      if (was_hit && t.kbytes <= 0) learn_work(t.rule, took, x.hops.used);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
       if (!was_hit) link.answered(late, now);
       if (other_source && !was_hit) {
