--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -72,22 +72,23 @@
 // each capful of answers in time, is cut by a share when too many come late or are turned away.
 struct Limit {
   double cap = 16;  // a small machine's work; grows or is cut within a second or two
-  double used = 0, late = 0;
+  double used = 0, late = 0, too_many = 0.3;  // sizes vary: a tenth looks late on a good day
   Sec cut_at = -kNever;
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
   void answered(bool was_late, Sec now) {
-    constexpr double kLately = 0.1, kTooMany = 0.3;  // sizes vary: a tenth looks late on a good day
+    constexpr double kLately = 0.1;
     late += ((was_late ? 1 : 0) - late) * kLately;
-    if (late > kTooMany)
+    if (late > too_many)
       cut(now);
     else if (!was_late && used > cap / 2)
       cap += 1 / cap;
   }
   void cut(Sec now) {
-    constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
+    constexpr Sec kPause = 0.5;   // one cut for one crowding: about an answer's time
+    constexpr double kLeast = 4;  // fewer leave a small machine or link idle between answers
     if (now - cut_at < kPause) return;
     cut_at = now;
-    cap = std::max(2.0, cap * 0.8);
+    cap = std::max(kLeast, cap * 0.8);
   }
 };
 
@@ -190,7 +191,7 @@
   Counts counts;
   std::vector<Member> members;
   std::vector<Txn> txns;
-  Limit link;                         // this router's fills over the location's link in
+  Limit link{.too_many = 0.15};       // this router's fills over the location's link in
   std::set<std::pair<Sec, int>> due;  // txns that wait for a time
   std::vector<int> waiting;           // txns that wait for room
   std::vector<int> ready;             // txns that want a decision
