Weigh hops by their work, count the link's lateness over quiet, name the origin behind a parent

Hops counted alike, though a video holds a cache's link as long as six pages. Straight to a parent with the parent as source ends as 'lacks' when it has no copy. Change: lateness is counted over the share seen in quiet, cut at a tenth more; limits and bounds weigh a hop by its work in mean txns, the bound's floor is eight of them; the origin stands behind a parent; a client that left without an answer is expected back and does not count again.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -75,9 +75,9 @@
   double used = 0, late = 0, too_many = 0.3;  // sizes vary: a tenth looks late on a good day
   Sec cut_at = -kNever;
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
-  void answered(bool was_late, Sec now) {
+  void answered(bool was_late, Sec now, double in_quiet = 0) {
     constexpr double kLately = 0.1;
-    late += ((was_late ? 1 : 0) - late) * kLately;
+    late += ((was_late ? 1 : 0) - in_quiet - late) * kLately;
     if (late > too_many)
       cut(now);
     else if (!was_late && used > cap / 2)
@@ -113,6 +113,16 @@
   Sec spent_at = 0, served_at = 0;
 };
 
+// A mean as it is in quiet: the first few count whatever is in flight, so that something is known at once.
+struct Quiet {
+  double mean = 0;
+  int seen = 0;
+  void see(double value, bool quiet) {
+    constexpr int kFirst = 50;
+    if (seen < kFirst || quiet) mean += (value - mean) / std::min(++seen, kFirst);
+  }
+};
+
 struct Hop {
   int member = -1, source = -1;
   bool out = true, failed = false, source_failed = false, moving = false, fill = false, held_only = false;
@@ -121,8 +131,8 @@
 };
 
 struct Txn {
-  bool live = false, keep = false, queued = false, repeat = false;
-  int rule = 0, part = 0, out = 0, turned_away = 0;
+  bool live = false, keep = false, queued = false;
+  int rule = 0, out = 0, turned_away = 0;
   std::uint64_t object = 0;
   std::uint32_t group = 0;
   double kbytes = 0;
@@ -145,7 +155,8 @@
   void add_rule(const RemapRule& rule) override {
     rules.push_back(rule);
     excess.emplace_back(rule.sla_time, rule.sla_time);
-    mean_work.emplace_back(rule.sla_time, 0);  // until hits tell: an SLA time is longer than most sendings
+    late_fills.emplace_back();
+    mean_work.push_back({.mean = rule.sla_time});  // until hits tell: longer than most sendings
   }
   void set_hopping(const Hopping& h) override { hopping = h; }
   void set_filling(const Filling& f) override { filling = f; }
@@ -164,7 +175,10 @@
     for (auto& x : members) x.listed = x.listed && x.named;  // not in a whole list: gone
   }
   void list_failed() override { ask_at = now + 1; }
-  void txn_left(int i) override { finish(txns[i]); }
+  void txn_left(int i) override {
+    if (txns[i].live) expect_back(txns[i]);
+    finish(txns[i]);
+  }
   void purged(std::uint64_t object, Sec ago) override { note_purge(purged_objects, object, ago); }
   void purged_group(std::uint32_t group, Sec ago) override { note_purge(purged_groups, group, ago); }
   void woken() override {
@@ -184,14 +198,16 @@
   ColdStart cold_cache, cold_par;
   double fair[2] = {0, 0};  // caches, parents
   std::vector<RemapRule> rules;
-  std::vector<std::pair<double, int>> mean_work;  // by rule: the mean sending time seen, seconds
+  std::vector<Quiet> mean_work;  // by rule: sending time, from told sizes or hits
+  std::vector<Quiet>
+      late_fills;  // by rule: the share of fills that looks late on a good day too, since sizes vary
   std::vector<std::pair<double, double>> excess;  // by rule: mean, deviation of hop times past the sending
-  double moves = 10;
+  double moves = 10, mean_txn = 0.4;
 
   Counts counts;
   std::vector<Member> members;
   std::vector<Txn> txns;
-  Limit link{.too_many = 0.15};       // this router's fills over the location's link in
+  Limit link{.too_many = 0.1};        // this router's fills over the location's link in
   std::set<std::pair<Sec, int>> due;  // txns that wait for a time
   std::vector<int> waiting;           // txns that wait for room
   std::vector<int> ready;             // txns that want a decision
@@ -220,18 +236,17 @@
                                                    : Role::cache;
     x.weight = weight > 0 ? weight : 1;
     x.ready = state == Listed::ready;
-    if (state == Listed::gone) {
-      x.listed = false;
-      return;
-    }
-    x.listed = x.seen = x.named = true;
-    if (started > 0 && started > x.started + 1e-3) {
+    x.listed = state != Listed::gone;
+    if (!x.listed) return;
+    x.seen = x.named = true;
+    if (started > x.started + 1e-3 && started > 0) {
       x.started = started;
-      begin_afresh(x);
-    } else if (returns && now - x.started > rule_of(x).warm_after) {
+    } else if (returns && !is_cold(x)) {
       x.started = now;  // back from being gone with no new start told: taken as fresh
-      begin_afresh(x);
+    } else {
+      return;
     }
+    begin_afresh(x);
   }
 
   void begin_afresh(Member& x) {
@@ -262,9 +277,7 @@
   void went_wrong(int m, bool hard) {
     auto& x = members[m];
     x.failing += (1 - x.failing) * 0.1;
-    if (hard || x.failing > 0.3 || x.trial > 0) {
-      if (now >= x.aside_until) set_aside(x);
-    }
+    if ((hard || x.failing > 0.3 || x.trial > 0) && now >= x.aside_until) set_aside(x);
   }
 
   void went_well(int m) {
@@ -280,8 +293,7 @@
   }
 
   bool usable(const Member& x) const {
-    if (!x.listed || !x.ready || now < x.aside_until) return false;
-    return x.trial == 0 || x.out == 0;
+    return x.listed && x.ready && now >= x.aside_until && (x.trial == 0 || x.out == 0);
   }
 
   // A member with several hops out and no answer for many times its usual gap is taken as silent; the hops
@@ -390,11 +402,11 @@
   // The oldest copy that will do: 0 for the rule's fresh time, never 0 while a purge settles.
   Sec age_limit(const Txn& t, bool old_will_do) const {
     const auto& r = rules[t.rule];
-    Sec purge = purged_all;
-    if (const auto it = purged_objects.find(t.object); it != purged_objects.end())
-      purge = std::max(purge, it->second);
-    if (const auto it = purged_groups.find(t.group); it != purged_groups.end())
-      purge = std::max(purge, it->second);
+    const auto told = [](const auto& table, std::uint64_t what) {
+      const auto it = table.find(what);
+      return it == table.end() ? -kNever : it->second;
+    };
+    const Sec purge = std::max({purged_all, told(purged_objects, t.object), told(purged_groups, t.group)});
     const Sec fresh = r.fresh > 0 && old_will_do ? r.fresh + r.grace : 0;
     if (now - purge > settles + 1) return fresh;
     const Sec limit = std::max(0.001, now - purge - 0.005);  // less the ticks between telling and sending
@@ -419,21 +431,17 @@
   }
 
   static bool failed_at(const Txn& t, int m) {
-    return std::any_of(t.hops.begin(), t.hops.end(), [&](const Hop& h) { return h.failed && h.member == m; });
+    return std::ranges::any_of(t.hops, [&](const Hop& h) { return h.failed && h.member == m; });
   }
   static bool failed_from(const Txn& t, int m) {
-    return std::any_of(t.hops.begin(), t.hops.end(),
-                       [&](const Hop& h) { return h.source_failed && h.source == m; });
+    return std::ranges::any_of(t.hops, [&](const Hop& h) { return h.source_failed && h.source == m; });
   }
 
   double work_of(const Txn& t) const {
-    return t.kbytes > 0 && filling.pace > 0 ? t.kbytes / filling.pace : mean_work[t.rule].first;
-  }
-  double fill_weight(const Txn& t) const {
-    return t.kbytes > 0 && filling.pace > 0 && mean_work[t.rule].first > 0
-               ? work_of(t) / mean_work[t.rule].first
-               : 1;
+    return t.kbytes > 0 && filling.pace > 0 ? t.kbytes / filling.pace : mean_work[t.rule].mean;
   }
+  // What a hop weighs against limits and bounds: its work in mean txns; a video counts for many pages.
+  double weight_of(const Txn& t) const { return std::clamp(work_of(t) / mean_txn, 0.1, 5.0); }
 
   // The first in order that is usable and fits; without room everywhere the txn waits.
   int first_of(const std::vector<int>& all, const std::function<bool(int)>& fit) const {
@@ -442,14 +450,13 @@
     return -1;
   }
 
-  int pick_source(const Txn& t, bool allow_origin) {
-    const double w = fill_weight(t), work = work_of(t);
+  int pick_source(const Txn& t) {
+    const double w = weight_of(t), work = work_of(t);
     const auto room = [&](int m) { return members[m].fills.room(w); };
     const int par = first_of(order(t.object, Role::par), [&](int m) {
       return room(m) && !failed_from(t, m) && cold_room(members[m], work);
     });
-    if (par >= 0 || !allow_origin) return par;
-    return first_of(order(t.object, Role::origin), room);
+    return par >= 0 ? par : first_of(order(t.object, Role::origin), room);
   }
 
   struct Route {
@@ -459,7 +466,7 @@
 
   Route pick(Txn& t) {
     Route p;
-    const double work = mean_work[t.rule].first, w = fill_weight(t);
+    const double work = mean_work[t.rule].mean, w = weight_of(t);
     const auto& e = counts.at(t.object, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
     const auto caches = order(t.object, Role::cache);
@@ -470,12 +477,12 @@
         used += members[m].hops.used, size += members[m].weight;
         none_left = none_left && (failed_at(t, m) || !cold_room(members[m], work));
       }
-    constexpr double kOver = 1.3, kFew = 4;  // a third over the mean evens loads and moves few objects
+    constexpr double kOver = 1.3, kFew = 8;  // mean txns: less moves hot objects about, more jams a cache
     p.member = first_of(caches, [&](int m) {
       const auto& x = members[m];
       const bool fill = !(sib_known && e.sib == m);
       const double fair_part = std::max(kFew, kOver * (used + 1) * x.weight / std::max(size, 1e-9));
-      return !failed_at(t, m) && x.hops.room(1) && x.hops.used + 1 <= fair_part &&
+      return !failed_at(t, m) && x.hops.room(w) && x.hops.used + w <= fair_part &&
              (!fill || (x.fills.room(w) && link.room(w))) && cold_room(x, work);
     });
     if (p.member >= 0) {
@@ -485,17 +492,18 @@
         p.held_only = true;
         return p;
       }
-      p.source = pick_source(t, true);
+      p.source = pick_source(t);
       if (p.source >= 0) return p;
     }
     // No cache of the location can take it: straight to a parent. Never because the caches are merely full.
     if (!roles.direct || !none_left || !link.room(w)) return {};
-    p.member = p.source = pick_source(t, true);
-    return p;
+    p.member = pick_source(t);
+    p.source =
+        first_of(order(t.object, Role::origin), [](int) { return true; });  // a parent alone fills nothing
+    return p.source < 0 ? Route{} : p;
   }
 
-  // An uncacheable rule goes straight to the origin, or through a cache where parents and origin take no
-  // hops.
+  // An uncacheable rule goes straight to the origin, or through a cache where the origin takes no hops.
   Route pass(const Txn& t) {
     const int origin = first_of(order(t.object, Role::origin), [](int) { return true; });
     if (origin < 0) return {};
@@ -505,15 +513,6 @@
     return {cache, cache < 0 ? -1 : origin, false};
   }
 
-  // The mean sending time of a rule, from told sizes or from hits at caches with little else in flight; the
-  // first few count whatever is in flight, so that the rules' order of work is known at once.
-  void learn_work(int rule, Sec took, double in_flight) {
-    constexpr int kFirst = 50;
-    auto& [mean, seen] = mean_work[rule];
-    if (seen >= kFirst && in_flight >= 3) return;
-    mean += (took - mean) / std::min(++seen, kFirst);
-  }
-
   // ---- txns --------------------------------------------------------------------------------------------
 
   void say(Decision d) { said.push_back(std::move(d)); }
@@ -544,27 +543,25 @@
            (r.effect == Effect::keyed && r.group == Group::all);
   }
 
-  void finish(Txn& t) {
-    t.live = false;
-    t.queued = false;
+  static void finish(Txn& t) { t.live = t.queued = false; }
+
+  // A client that got no answer may come again; that is no new demand.
+  void expect_back(const Txn& t) {
+    if (rules[t.rule].uncacheable) return;
+    auto& e = counts.at(t.object, now);
+    e.owed = std::min(e.owed + 1, 20);
+    e.owed_at = now;
   }
 
   void give_up(int i) {
     auto& t = txns[i];
-    if (!rules[t.rule].uncacheable) {
-      auto& e = counts.at(t.object, now);
-      e.owed = std::min(e.owed + 1, 20);
-      e.owed_at = now;
-    }
+    expect_back(t);
     const Sec pause = std::min(clients.longest_pause, 0.25);
     say({.kind = may_reject(t) ? Decision::Kind::reject : Decision::Kind::abort, .txn = i, .time = pause});
     finish(t);
   }
 
-  void hold(int i, Sec wait) {
-    auto& t = txns[i];
-    due.insert({std::min(now + wait, t.expires - 0.01), i});
-  }
+  void hold(int i, Sec wait) { due.insert({std::min(now + wait, txns[i].expires - 0.01), i}); }
 
   void decide(int i) {
     auto& t = txns[i];
@@ -590,18 +587,16 @@
     const auto& r = rules[t.rule];
     const auto& e = counts.at(t.object, now);
     const double work = work_of(t);
-    Hop h{.member = p.member,
-          .source = p.source,
-          .held_only = p.held_only,
-          .sent = now,
-          .weight = fill_weight(t)};
+    Hop h;
+    h.member = p.member, h.source = p.source, h.held_only = p.held_only;
+    h.sent = now, h.weight = weight_of(t);
     auto& x = members[p.member];
     h.fill = p.source != p.member && !(e.sib == p.member && now - e.sib_at < 10);
     if (x.out++ == 0) x.busy_since = now;
-    x.hops.used += 1;
+    x.hops.used += h.weight;
     if (x.role != Role::cache) x.fills.used += h.weight;
     if (h.fill || x.role != Role::cache) link.used += h.weight;
-    spend(x, x.role == Role::cache ? mean_work[t.rule].first : work);
+    spend(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
     if (p.source >= 0 && p.source != p.member) {
       auto& s = members[p.source];
       if (h.fill) {
@@ -609,7 +604,7 @@
         s.fills.used += h.weight;
         x.fills.used += h.weight;
       }
-      spend(s, s.role == Role::cache ? mean_work[t.rule].first : work);
+      spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
     }
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
     d.rank = t.keep && x.role == Role::cache && !r.uncacheable ? kMiddleRank : 0;
@@ -625,17 +620,13 @@
                  Sec expires, bool repeat) override {
     if (i >= static_cast<int>(txns.size())) txns.resize(i + 1);
     auto& t = txns[i];
-    t = Txn{.live = true,
-            .repeat = repeat,
-            .rule = rule,
-            .part = part,
-            .object = object,
-            .group = group,
-            .kbytes = kbytes,
-            .taken = now,
-            .expires = expires};
-    if (kbytes > 0 && filling.pace > 0) learn_work(rule, kbytes / filling.pace, 0);
+    t = {};
+    t.live = true;
+    t.rule = rule, t.object = object, t.group = group, t.kbytes = kbytes;
+    t.taken = now, t.expires = expires;
+    if (kbytes > 0 && filling.pace > 0) mean_work[rule].see(kbytes / filling.pace, true);
     if (!rules[rule].uncacheable) {
+      mean_txn += (work_of(t) - mean_txn) * 0.01;
       auto& e = counts.at(object, now);
       const bool again = repeat || (!clients.mark_repeats && e.owed > 0 && now - e.owed_at < 2);
       if (again && e.owed > 0) --e.owed;
@@ -650,7 +641,7 @@
     --t.out;
     auto& x = members[h.member];
     --x.out;
-    x.hops.used -= 1;
+    x.hops.used -= h.weight;
     if (x.role != Role::cache) x.fills.used -= h.weight;
     if (h.fill || x.role != Role::cache) link.used -= h.weight;
     if (h.fill) {
@@ -676,16 +667,18 @@
                                                  : note >= Note::source_refused))
       if (note != Note::source_unreached && note != Note::no_fill_place) heard_from(h.source);
     if (v == Verdict::completed) {
-      if (x.trial > 0 && x.role == Role::cache) x.hops.cap = std::max(2.0, x.hops.cap);
       if (is_cold(x)) x.hops.cap += 0.25, x.fills.cap += 0.25;  // a fresh cap grows with its answers
       went_well(h.member);
       took_so_long(t, took);
-      served(x, x.role == Role::cache ? mean_work[t.rule].first : work);
+      served(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
       const bool late = took > r.sla_time + r.sla_stretch * work;
       const bool was_hit = note == Note::hit || note == Note::old_copy;
-      if (was_hit && t.kbytes <= 0) learn_work(t.rule, took, x.hops.used);
+      if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.hops.used < 3);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
-      if (!was_hit) link.answered(late, now);
+      if (!was_hit) {
+        late_fills[t.rule].see(late ? 1 : 0, link.used < 3);
+        link.answered(late, now, late_fills[t.rule].mean);
+      }
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
@@ -717,6 +710,10 @@
     want(i);
   }
 
+  void forget_sib(const Txn& t, int m) {
+    if (auto& e = counts.at(t.object, now); e.sib == m) e.sib = -1;
+  }
+
   // Whose fault a failed hop is, by what its outcome and note prove.
   void blame(Txn& t, Hop& h, Verdict v, Note note) {
     auto& x = members[h.member];
@@ -727,7 +724,7 @@
     }
     switch (note) {
       case Note::source_lacks:
-        if (auto& e = counts.at(t.object, now); e.sib == h.source) e.sib = -1;
+        forget_sib(t, h.source);
         return;
       case Note::source_refused:
         if (other_source) members[h.source].fills.cut(now);
@@ -737,18 +734,16 @@
         return;
       case Note::no_fill_place:
         x.fills.cut(now);
-        return;
+        [[fallthrough]];
       case Note::origin_failed:
         return;
       default:
         break;
     }
     if (v == Verdict::lacking) {
-      if (h.held_only) {
-        if (auto& e = counts.at(t.object, now); e.sib == h.source) e.sib = -1;
-        h.source_failed = true;
-        h.failed = false;
-      }
+      h.source_failed = h.held_only;
+      h.failed = !h.held_only;
+      if (h.held_only) forget_sib(t, h.source);
       return;
     }
     if (v == Verdict::not_taken) {
