Serve the newest waiting txn first, reject when a usual hop would end too late

Change: of equal importance for the work the newest goes first; waiting ends when a usual hop of the rule would come past the SLA time. Should also catch every jam that outlasts the SLA time. Harm: a txn that just missed a short jam is rejected where it would have earned a late share.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -338,10 +338,8 @@
 
   // How long a hop of this txn may take before it is held for lost: well past what its rule's hops lately
   // took beyond the told sending time.
-  Sec patience_of(const Txn& t) const {
-    const auto& e = excess[t.rule];
-    return (t.kbytes > 0 ? work_of(t) : 0) + e.first + 8 * e.second;
-  }
+  Sec patience_of(const Txn& t) const { return expected(t) + 8 * excess[t.rule].second; }
+  Sec expected(const Txn& t) const { return (t.kbytes > 0 ? work_of(t) : 0) + excess[t.rule].first; }
   void took_so_long(const Txn& t, Sec took) {
     auto& [mean, dev] = excess[t.rule];
     const double over = took - (t.kbytes > 0 ? work_of(t) : 0);
@@ -573,7 +571,8 @@
       return give_up(i);
     const Route p = r.uncacheable ? pass(t) : pick(t);
     if (p.member < 0 || !repeat_dropped_at(t, p.member)) {
-      const Sec last = std::min(t.taken + r.sla_time, t.expires - 2 * kLast);
+      const Sec spare = r.sla_time + r.sla_stretch * work_of(t) - expected(t);  // later it would end too late
+      const Sec last = std::min(t.taken + std::clamp(spare, 0.05, r.sla_time), t.expires - 2 * kLast);
       if (now >= last) return give_up(i);
       waiting.push_back(i);
       due.insert({last, i});
@@ -785,7 +784,7 @@
     waiting.clear();
     std::stable_sort(ready.begin(), ready.end(), [&](int a, int b) {
       const auto rank = [&](const Txn& t) {
-        return std::pair(-rules[t.rule].importance / std::max(0.001, work_of(t)), t.taken);
+        return std::pair(-rules[t.rule].importance / std::max(0.001, work_of(t)), -t.taken);
       };
       return rank(txns[a]) < rank(txns[b]);
     });
