Let old copies in grace do while fills come late

Change: old copies will do on a further hop, and on the first one while the late share of the source's or the link's fills makes an old copy worth more than waiting. Should also catch a lost hub, a jam of the link and cold parents. Harm: an old copy earns less where the fill would have come in time after all.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -397,6 +397,12 @@
   void forget_purges(std::map<std::uint64_t, Sec>& table) {
     std::erase_if(table, [&](const auto& p) { return now - p.second > settles + 1; });
   }
+  // An old copy will do on a further hop, or when so many fills of that source come late that it earns more.
+  bool old_will_do(const Txn& t, int source) const {
+    const auto& r = rules[t.rule];
+    const double late = source < 0 ? 0 : std::max(link.late, members[source].fills.late);
+    return r.grace > 0 && (!t.hops.empty() || late * (1 - r.late_share) > 1 - r.old_share);
+  }
   // The oldest copy that will do: 0 for the rule's fresh time, never 0 while a purge settles.
   Sec age_limit(const Txn& t, bool old_will_do) const {
     const auto& r = rules[t.rule];
@@ -609,7 +615,7 @@
     d.rank = t.keep && x.role == Role::cache && !r.uncacheable ? kMiddleRank : 0;
     d.join = filling.join && !r.uncacheable && t.hops.empty();  // a further hop must not wait for a lost fill
     d.held_only = p.held_only;
-    if (!r.uncacheable) d.age = age_limit(t, false);
+    if (!r.uncacheable) d.age = age_limit(t, old_will_do(t, p.source));
     t.hops.push_back(h);
     ++t.out;
     say(std::move(d));
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -115,6 +115,7 @@
       brain.set_filling({static_cast<Siblings>(l.pick("siblings", {"none", "location", "any"})),
                          l.num("join", 1) > 0, l.num("notes", 1) > 0 ? Notes::all : Notes::none, 1000});
       brain.set_cold({0.2, l.num("multiple", 2), 16, 2}, {0.08, 2, 20, 2});
+      brain.set_weights(l.num("weights") > 0);
       brain.set_purges(6);
       brain.set_clients({l.num("marks", 1) > 0, 0.5});
     } else if (what == "rule") {
@@ -127,6 +128,9 @@
       r.time_limit = l.num("limit", 5);
       r.fresh = l.num("fresh");
       r.grace = l.num("grace");
+      r.old_share = 0.7;
+      r.late_share = 0.15;
+      r.importance = l.num("importance", 1);
       r.uncacheable = l.num("uncacheable") > 0;
       brain.add_rule(r);
     } else if (what == "cache" || what == "par" || what == "origin") {
