Let a source's limit fall to one fill, count its lateness over quiet

Five routers with a floor of four fills each are more than a parent's link carries, and lateness was counted against big objects too. Change: the floor of four stays for caches and for the link in; a source's limit may fall to one, and is cut when 0.15 more come late than in quiet. The rest goes to the next source in order. Should also catch slow parents. Harm: the origin is asked sooner.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -72,7 +72,7 @@
 // each capful of answers in time, is cut by a share when too many come late or are turned away.
 struct Limit {
   double cap = 16;  // a small machine's work; grows or is cut within a second or two
-  double used = 0, late = 0, too_many = 0.3;  // sizes vary: a tenth looks late on a good day
+  double used = 0, late = 0, too_many = 0.3, least = 4;  // sizes vary: a tenth looks late on a good day
   Sec cut_at = -kNever;
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
   void answered(bool was_late, Sec now, double in_quiet = 0) {
@@ -84,11 +84,10 @@
       cap += 1 / cap;
   }
   void cut(Sec now) {
-    constexpr Sec kPause = 0.5;   // one cut for one crowding: about an answer's time
-    constexpr double kLeast = 4;  // fewer leave a small machine or link idle between answers
+    constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
     if (now - cut_at < kPause) return;
     cut_at = now;
-    cap = std::max(kLeast, cap * 0.8);
+    cap = std::max(least, cap * 0.8);
   }
 };
 
@@ -108,7 +107,7 @@
   Sec heard = -kNever, busy_since = 0;
   double gap = 0.1;
   // load
-  Limit hops, fills;
+  Limit hops, fills{.too_many = 0.15, .least = 1};
   double spent = 0, served = 0;
   Sec spent_at = 0, served_at = 0;
 };
@@ -688,7 +687,7 @@
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.answered(late, now);
+        s.fills.answered(late, now, late_fills[t.rule].mean);
         x.fills.answered(false, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
