Let cold members take more, and sooner: faster fair rate, margin 0.75 with a smaller burst

Change: the fair rate follows within some tens of answers; the margin is 0.75 and the burst a quarter window, so any window stays under 0.94 of the stated multiple. Should also help after a restart of the router.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -354,8 +354,8 @@
   // told, the rate it lately got through warm members of that role, since all routers' rates together fit
   // into one member.
   double cold_rate(const Member& x) const {
-    constexpr double kMargin = 0.6;  // with the burst below nine tenths of the multiple in any window
-    constexpr double kLeast = 0.25;  // a quarter of one transfer: less than any machine's part
+    constexpr double kMargin = 0.75;  // with the burst of a quarter under the stated multiple in any window
+    constexpr double kLeast = 0.25;   // a quarter of one transfer: less than any machine's part
     const bool par = x.role == Role::par;
     const double part =
         weights_tell ? x.weight / (par ? place.routers : place.seats) : std::max(kLeast, fair[par ? 1 : 0]);
@@ -366,7 +366,7 @@
     if (!is_cold(x)) return true;
     const double rate = cold_rate(x);
     const double spent = std::max(0.0, x.spent - rate * (now - x.spent_at));
-    return spent <= 0 || spent + work <= rate * rule_of(x).window / 2;
+    return spent <= 0 || spent + work <= rate * rule_of(x).window / 4;
   }
   void spend(Member& x, double work) {
     if (!is_cold(x)) return;
@@ -379,7 +379,7 @@
     x.served_at = now;
     if (is_cold(x) || x.role == Role::origin) return;
     auto& f = fair[x.role == Role::par ? 1 : 0];
-    f += (x.served - f) * 0.01;  // a few seconds of answers
+    f += (x.served - f) * 0.05;  // some tens of answers
   }
 
   // ---- purges (mechanism 5) ----------------------------------------------------------------------------
