--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -207,6 +207,10 @@
     return;
   }
   if (name == "ENLIST") return enlist(f);
+  constexpr std::string_view kKnown[] = {"QUERY", "COMPLETED",      "TOPOLOGY", "ELAPSED",   "HANGUP",
+                                         "KILL",  "WITHDRAWN_COPY", "PONG",     "STREAMING", "WHISPER"};
+  if (std::find(std::begin(kKnown), std::end(kKnown), name) == std::end(kKnown))
+    throw Malformed("unknown message");
   const int number = static_cast<int>(f.integer("i"));
   const auto it = instances_.find(number);
   if (it == instances_.end()) bad("instance", std::to_string(number));
@@ -234,8 +238,7 @@
       const auto object = f.text_or("0");
       return object == "0" ? in.brain->purged_group(tag, ago) : in.brain->purged(stable_hash(object), ago);
     }
-    if (name == "STREAMING" || name == "WHISPER" || name == "PONG") return;  // nothing here asks for them
-    throw Malformed("unknown message");
+    // STREAMING, WHISPER, PONG: nothing here asks for them.
   });
 }
 
@@ -256,6 +259,7 @@
                  s.flag("specifics.direct")});
     const auto rules = static_cast<std::size_t>(s.number("categories.count"));
     for (std::size_t n = 0; n < rules; ++n) b.add_rule(rule_of(s, n));
+    in.rules = static_cast<int>(rules);
     b.set_hopping({s.whole("allowed.max_attempts", 1), s.flag("allowed.second_copies"),
                    s.flag("allowed.cancel"), s.flag("allowed.probes")});
     b.set_filling(
@@ -308,6 +312,7 @@
 void Host::query(Instance& in, Fields& f) {
   const auto id = static_cast<std::uint32_t>(f.integer("msg_id"));
   const int rule = static_cast<int>(f.integer("profile"));
+  if (rule < 0 || rule >= in.rules) bad("profile", std::to_string(rule));
   f.integer_or(0, "owner");
   const auto object = stable_hash(f.text_or("0"));
   const Sec expires = f.number("expires") / 1e3;
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -67,6 +67,7 @@
     std::unordered_map<std::uint32_t, int> txn_of;
     std::vector<Txn> txns;
     std::vector<int> free_txns;
+    int rules = 0;
   };
 
   void event(std::string_view name, Fields& f);
