Send uncacheable txns to the origin also while it is set aside

Cause, found by the effects trace: one error or time-out at the origin set it aside, and every other uncacheable txn waited for half a second or was rejected, though nobody else can run it; a keyed txn was never sent again. Change: the way of uncacheable txns does not ask for the origin's health; a further hop waits a growing pause after any failure. Should also help while the origin fails fast. Harm: hops to a dead origin until the time limit.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -504,7 +504,9 @@
 
   // An uncacheable rule goes straight to the origin, or through a cache where the origin takes no hops.
   Route pass(const Txn& t) {
-    const int origin = first_of(order(t.object, Role::origin), [](int) { return true; });
+    int origin = -1;  // also while set aside: nobody else can run it
+    for (const int m : order(t.object, Role::origin))
+      if (members[m].ready) origin = m;
     if (origin < 0) return {};
     if (roles.direct) return {origin, origin, false};
     const int cache = first_of(order(t.object, Role::cache),
@@ -702,7 +704,7 @@
     }
     if (over) finish(t);
     if (!t.live) return;
-    if (v == Verdict::not_taken) {
+    if (v == Verdict::not_taken || (r.uncacheable && may_hop_again(t))) {
       h.failed = h.failed && !r.uncacheable;
       // Turned away: again after a growing pause, so that a crowd is not answered with a storm.
       return hold(i, 0.02 * (1 << std::min(4, t.turned_away++)));
