Cut the link's limit at 0.13 more late than in quiet

The link's limit was cut for lateness that no fill over it caused. Change: cut at 0.13 over quiet, 0.1 before. Harm: crowded links are seen later.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -202,7 +202,7 @@
   Counts counts;
   std::vector<Member> members;
   std::vector<Txn> txns;
-  Limit link{.too_many = 0.1};        // this router's fills over the location's link in
+  Limit link{.too_many = 0.13};       // this router's fills over the location's link in
   std::set<std::pair<Sec, int>> due;  // txns that wait for a time
   std::vector<int> waiting;           // txns that wait for room
   std::vector<int> ready;             // txns that want a decision
