Take a member that could not be reached as fresh when it answers again

Cause: a machine that restarts answers before the list tells its new start, and was sent its full share while cold. Change: after 'no connection' the first good answer starts its cold budget and its small cap, unless the list has told a start. Should also guard a member behind a healed link. Harm: a warm one that was only cut off is used little for a while.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -96,7 +96,7 @@
   std::uint64_t hash = 0;
   int location = -1, kind = -1, cell = -1;
   Role role = Role::cache;
-  bool listed = false, ready = false, seen = false, named = false;
+  bool listed = false, ready = false, seen = false, named = false, unreached = false;
   double weight = 1;
   Sec started = -kNever;
   // health
@@ -670,6 +670,8 @@
       if (note != Note::source_unreached && note != Note::no_fill_place) heard_from(h.source);
     if (v == Verdict::completed) {
       if (is_cold(x)) x.hops.cap += 0.25, x.fills.cap += 0.25;  // a fresh cap grows with its answers
+      if (std::exchange(x.unreached, false) && !is_cold(x))
+        x.started = now, begin_afresh(x);  // may have restarted
       went_well(h.member);
       took_so_long(t, took);
       served(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
@@ -760,6 +762,7 @@
       if (h.fill) members[h.source].fills.answered(true, now);
       return;
     }
+    x.unreached = x.unreached || v == Verdict::no_connection;
     went_wrong(h.member, v != Verdict::error);
   }
 
