--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -131,7 +131,7 @@
 struct Txn {
   bool live = false, keep = false, queued = false;
   int rule = 0, out = 0, turned_away = 0;
-  std::uint64_t object = 0;
+  std::uint64_t object = 0, copy = 0;  // a copy is of one part
   std::uint32_t group = 0;
   double kbytes = 0;
   Sec taken = 0, expires = 0, may_have_run = kNever;
@@ -452,10 +452,10 @@
   int pick_source(const Txn& t) {
     const double w = weight_of(t), work = work_of(t);
     const auto room = [&](int m) { return members[m].fills.room(w); };
-    const int par = first_of(order(t.object, Role::par), [&](int m) {
+    const int par = first_of(order(t.copy, Role::par), [&](int m) {
       return room(m) && !failed_from(t, m) && cold_room(members[m], work);
     });
-    return par >= 0 ? par : first_of(order(t.object, Role::origin), room);
+    return par >= 0 ? par : first_of(order(t.copy, Role::origin), room);
   }
 
   struct Route {
@@ -468,7 +468,7 @@
     const double work = mean_work[t.rule].mean, w = weight_of(t);
     const auto& e = counts.at(t.object, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
-    const auto caches = order(t.object, Role::cache);
+    const auto caches = order(t.copy, Role::cache);
     double used = 0, size = 0;
     bool none_left = true;
     for (const int m : caches)
@@ -498,18 +498,18 @@
     if (!roles.direct || !none_left || !link.room(w)) return {};
     p.member = pick_source(t);
     p.source =
-        first_of(order(t.object, Role::origin), [](int) { return true; });  // a parent alone fills nothing
+        first_of(order(t.copy, Role::origin), [](int) { return true; });  // a parent alone fills nothing
     return p.source < 0 ? Route{} : p;
   }
 
   // An uncacheable rule goes straight to the origin, or through a cache where the origin takes no hops.
   Route pass(const Txn& t) {
     int origin = -1;  // also while set aside: nobody else can run it
-    for (const int m : order(t.object, Role::origin))
+    for (const int m : order(t.copy, Role::origin))
       if (members[m].ready) origin = m;
     if (origin < 0) return {};
     if (roles.direct) return {origin, origin, false};
-    const int cache = first_of(order(t.object, Role::cache),
+    const int cache = first_of(order(t.copy, Role::cache),
                                [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); });
     return {cache, cache < 0 ? -1 : origin, false};
   }
@@ -624,7 +624,7 @@
     auto& t = txns[i];
     t = {};
     t.live = true;
-    t.rule = rule, t.object = object, t.group = group, t.kbytes = kbytes;
+    t.rule = rule, t.object = object, t.copy = mix(object + static_cast<std::uint64_t>(part)), t.group = group, t.kbytes = kbytes;
     t.taken = now, t.expires = expires;
     if (kbytes > 0 && filling.pace > 0) mean_work[rule].see(kbytes / filling.pace, true);
     if (!rules[rule].uncacheable) {
