A copy found by an answer counts as another router's txn

Should also help flows that move between routers; could harm where the copy is from this router's own earlier txn.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -691,6 +691,10 @@
         x.fills.answered(false, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
+      // A copy found, here or at a parent, stands for a txn that another router counted: a location with many
+      // routers would else pass its popular flows through unkept. Could harm where a copy is this router's own.
+      if (auto& e = counts.at(t.object, now); note != Note::by_origin && !r.uncacheable)
+        e.count = std::max(e.count, static_cast<float>(2 * kThreshold));
       if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) {
         auto& e = counts.at(t.object, now);
         e.sib = h.member;
