Look without room, fills weighed by their chance, limits by the number of routers told

Most hops were taken for fills though two thirds are hits, and every limit started at 16 and ended at 4 for each of 300 routers. Change: a hop weighs on fills by the share of hops that lately drew one; with no room the cache is asked once for what it holds; limits start at and are cut to a router's part. Found copies count only in flows of parts, so that siblings stay in use.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -70,9 +70,14 @@
 // Mechanism 1. Guards against crowding of any cause: slots, links in and out, fill places. Grows by one with
 // each capful of answers in time, is cut by a share when too many come late or are turned away.
 struct Limit {
-  double cap = 16;  // a small machine's work; grows or is cut within a second or two
-  double used = 0, late = 0, too_many = 0.3, least = 4;  // sizes vary: a tenth looks late on a good day
+  double cap = 16, used = 0, late = 0;
+  double too_many = 0.3, least = 4;  // sizes vary: a tenth looks late on a good day
   Sec cut_at = -kNever;
+  // Each of many routers starts with its part of a small machine's work, and is cut to no less than one hop.
+  void share(int routers) {
+    cap = std::clamp(32.0 / routers, 2.0, cap);
+    least = std::clamp(8.0 / routers, 1.0, least);
+  }
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
   void answered(bool was_late, Sec now, double in_quiet = 0) {
     constexpr double kLately = 0.1;
@@ -125,13 +130,13 @@
   int member = -1, source = -1;
   bool out = true, failed = false, source_failed = false, moving = false, fill = false, held_only = false;
   Sec sent = 0;
-  double weight = 0;
+  double weight = 0, chance = 1;  // chance: that it draws a fill
 };
 
 struct Txn {
-  bool live = false, keep = false, queued = false;
+  bool live = false, keep = false, queued = false, looked = false;
   int rule = 0, out = 0, turned_away = 0;
-  std::uint64_t object = 0, copy = 0;  // a copy is of one part
+  std::uint64_t object = 0;
   std::uint32_t group = 0;
   double kbytes = 0;
   Sec taken = 0, expires = 0, may_have_run = kNever;
@@ -146,7 +151,7 @@
 
 class Mind final : public Brain {
  public:
-  void set_place(const Place& p) override { place = p; }
+  void set_place(const Place& p) override { place = p, link.share(p.seats); }
   void set_roles(const Roles& r) override { roles = r; }
   void add_rule(const RemapRule& rule) override {
     rules.push_back(rule);
@@ -197,12 +202,13 @@
   std::vector<Quiet>
       late_fills;  // by rule: the share of fills that looks late on a good day too, since sizes vary
   std::vector<std::pair<double, double>> excess;  // by rule: mean, deviation of hop times past the sending
+  Quiet misses{.mean = 0.5};  // share of hops to a cache that draw a fill
   double moves = 10, mean_txn = 0.4;
 
   Counts counts;
   std::vector<Member> members;
   std::vector<Txn> txns;
-  Limit link{.too_many = 0.13};       // this router's fills over the location's link in
+  Limit link{.cap = 8, .too_many = 0.13, .least = 1.5};       // this router's fills over the location's link in
   std::set<std::pair<Sec, int>> due;  // txns that wait for a time
   std::vector<int> waiting;           // txns that wait for room
   std::vector<int> ready;             // txns that want a decision
@@ -221,7 +227,7 @@
   void list_member(int m, std::uint64_t hash, int location, int kind, int cell, Listed state, double weight,
                    Sec started) override {
     auto& x = member(m);
-    const bool returns = x.seen && !x.listed;
+    const bool returns = x.seen && !x.listed, first = !x.seen;
     x.hash = hash;
     x.location = location;
     x.kind = kind;
@@ -234,6 +240,10 @@
     x.listed = state != Listed::gone;
     if (!x.listed) return;
     x.seen = x.named = true;
+    if (first) {
+      const int routers = x.role == Role::cache ? place.seats : place.routers;
+      x.hops.share(routers), x.fills.share(routers);
+    }
     if (started > x.started + 1e-3 && started > 0) {
       x.started = started;
     } else if (returns && !is_cold(x)) {
@@ -452,10 +462,10 @@
   int pick_source(const Txn& t) {
     const double w = weight_of(t), work = work_of(t);
     const auto room = [&](int m) { return members[m].fills.room(w); };
-    const int par = first_of(order(t.copy, Role::par), [&](int m) {
+    const int par = first_of(order(t.object, Role::par), [&](int m) {
       return room(m) && !failed_from(t, m) && cold_room(members[m], work);
     });
-    return par >= 0 ? par : first_of(order(t.copy, Role::origin), room);
+    return par >= 0 ? par : first_of(order(t.object, Role::origin), room);
   }
 
   struct Route {
@@ -468,21 +478,23 @@
     const double work = mean_work[t.rule].mean, w = weight_of(t);
     const auto& e = counts.at(t.object, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
-    const auto caches = order(t.copy, Role::cache);
+    const auto caches = order(t.object, Role::cache);
     double used = 0, size = 0;
     bool none_left = true;
+    const double chance = t.looked ? 1 : misses.mean;  // that this hop draws a fill
     for (const int m : caches)
       if (usable(members[m])) {
         used += members[m].hops.used, size += members[m].weight;
         none_left = none_left && (failed_at(t, m) || !cold_room(members[m], work));
       }
     constexpr double kOver = 1.3, kFew = 8;  // mean txns: less moves hot objects about, more jams a cache
-    p.member = first_of(caches, [&](int m) {
+    const auto takes = [&](int m) {
       const auto& x = members[m];
-      const bool fill = !(sib_known && e.sib == m);
       const double fair_part = std::max(kFew, kOver * (used + 1) * x.weight / std::max(size, 1e-9));
-      return !failed_at(t, m) && x.hops.room(w) && x.hops.used + w <= fair_part &&
-             (!fill || (x.fills.room(w) && link.room(w))) && cold_room(x, work);
+      return !failed_at(t, m) && x.hops.room(w) && x.hops.used + w <= fair_part && cold_room(x, work);
+    };
+    p.member = first_of(caches, [&](int m) {
+      return takes(m) && ((sib_known && e.sib == m) || (members[m].fills.room(w * chance) && link.room(w * chance)));
     });
     if (p.member >= 0) {
       if (!t.keep && filling.siblings != Siblings::none && sib_known && e.sib != p.member &&
@@ -494,22 +506,26 @@
       p.source = pick_source(t);
       if (p.source >= 0) return p;
     }
+    // No room for a fill: the cache that would hold the object is asked for what it holds, once. Guards against
+    // hits that wait behind fills, whatever holds those up.
+    if (!t.looked)
+      if (const int m = first_of(caches, takes); m >= 0) return {m, m, false};
     // No cache of the location can take it: straight to a parent. Never because the caches are merely full.
     if (!roles.direct || !none_left || !link.room(w)) return {};
     p.member = pick_source(t);
     p.source =
-        first_of(order(t.copy, Role::origin), [](int) { return true; });  // a parent alone fills nothing
+        first_of(order(t.object, Role::origin), [](int) { return true; });  // a parent alone fills nothing
     return p.source < 0 ? Route{} : p;
   }
 
   // An uncacheable rule goes straight to the origin, or through a cache where the origin takes no hops.
   Route pass(const Txn& t) {
     int origin = -1;  // also while set aside: nobody else can run it
-    for (const int m : order(t.copy, Role::origin))
+    for (const int m : order(t.object, Role::origin))
       if (members[m].ready) origin = m;
     if (origin < 0) return {};
     if (roles.direct) return {origin, origin, false};
-    const int cache = first_of(order(t.copy, Role::cache),
+    const int cache = first_of(order(t.object, Role::cache),
                                [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); });
     return {cache, cache < 0 ? -1 : origin, false};
   }
@@ -594,17 +610,19 @@
     h.sent = now, h.weight = weight_of(t);
     auto& x = members[p.member];
     h.fill = p.source != p.member && !(e.sib == p.member && now - e.sib_at < 10);
+    if (h.fill && x.role == Role::cache && !t.looked && !r.uncacheable) h.chance = misses.mean;
+    t.looked = t.looked || (p.source == p.member && x.role == Role::cache);
     if (x.out++ == 0) x.busy_since = now;
     x.hops.used += h.weight;
     if (x.role != Role::cache) x.fills.used += h.weight;
-    if (h.fill || x.role != Role::cache) link.used += h.weight;
+    if (h.fill || x.role != Role::cache) link.used += h.weight * h.chance;
     spend(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
     if (p.source >= 0 && p.source != p.member) {
       auto& s = members[p.source];
       if (h.fill) {
         if (s.out++ == 0) s.busy_since = now;
-        s.fills.used += h.weight;
-        x.fills.used += h.weight;
+        s.fills.used += h.weight * h.chance;
+        x.fills.used += h.weight * h.chance;
       }
       spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
     }
@@ -624,7 +642,7 @@
     auto& t = txns[i];
     t = {};
     t.live = true;
-    t.rule = rule, t.object = object, t.copy = mix(object + static_cast<std::uint64_t>(part)), t.group = group, t.kbytes = kbytes;
+    t.rule = rule, t.object = object, t.group = group, t.kbytes = kbytes;
     t.taken = now, t.expires = expires;
     if (kbytes > 0 && filling.pace > 0) mean_work[rule].see(kbytes / filling.pace, true);
     if (!rules[rule].uncacheable) {
@@ -645,11 +663,11 @@
     --x.out;
     x.hops.used -= h.weight;
     if (x.role != Role::cache) x.fills.used -= h.weight;
-    if (h.fill || x.role != Role::cache) link.used -= h.weight;
+    if (h.fill || x.role != Role::cache) link.used -= h.weight * h.chance;
     if (h.fill) {
       --members[h.source].out;
-      members[h.source].fills.used -= h.weight;
-      x.fills.used -= h.weight;
+      members[h.source].fills.used -= h.weight * h.chance;
+      x.fills.used -= h.weight * h.chance;
     }
   }
 
@@ -677,6 +695,7 @@
       served(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
       const bool late = took > r.sla_time + r.sla_stretch * work;
       const bool was_hit = note == Note::hit || note == Note::old_copy;
+      if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
       if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.hops.used < 3);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
       if (!was_hit) {
@@ -691,9 +710,9 @@
         x.fills.answered(false, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
-      // A copy found, here or at a parent, stands for a txn that another router counted: a location with many
-      // routers would else pass its popular flows through unkept. Could harm where a copy is this router's own.
-      if (auto& e = counts.at(t.object, now); note != Note::by_origin && !r.uncacheable)
+      // In a flow of parts, a copy found, here or at a parent, stands for a txn that another router counted: a
+      // location with many routers would else pass popular flows through. Could harm where it is this router's.
+      if (auto& e = counts.at(t.object, now); r.in_parts && note != Note::by_origin)
         e.count = std::max(e.count, static_cast<float>(2 * kThreshold));
       if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) {
         auto& e = counts.at(t.object, now);
@@ -748,6 +767,7 @@
       default:
         break;
     }
+    if (v == Verdict::lacking && h.source == h.member) return void(h.failed = false);  // only looked
     if (v == Verdict::lacking) {
       h.source_failed = h.held_only;
       h.failed = !h.held_only;
