Cold part from the mean of all warm members; first hops of many routers in a random phase

Change: the part is the router's work through all warm members over their number, the floor is its part of one transfer, and a fresh member starts with a random part of a mean txn spent. Should also guard parents with many locations; could delay the first use of a fresh member by a mean txn over its rate.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -11,6 +11,7 @@
 #include <cmath>
 #include <functional>
 #include <map>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -112,8 +113,8 @@
   double gap = 0.1;
   // load
   Limit hops, fills{.too_many = 0.15, .least = 1};
-  double spent = 0, served = 0;
-  Sec spent_at = 0, served_at = 0;
+  double spent = 0;
+  Sec spent_at = 0;
 };
 
 // A mean as it is in quiet: the first few count whatever is in flight, so that something is known at once.
@@ -151,6 +152,7 @@
 
 class Mind final : public Brain {
  public:
+  explicit Mind(std::uint32_t seed) : chance_source(seed) {}
   void set_place(const Place& p) override { place = p, link.share(p.seats); }
   void set_roles(const Roles& r) override { roles = r; }
   void add_rule(const RemapRule& rule) override {
@@ -187,6 +189,7 @@
   }
 
  private:
+  std::mt19937 chance_source;
   Sec now = 0, woken_for = kNever, tick_at = 0, halve_at = 0;
   Sec ask_at = 0, settles = 0;
   bool weights_tell = false, asks = false;
@@ -196,7 +199,9 @@
   Filling filling;
   Clients clients;
   ColdStart cold_cache, cold_par;
-  double fair[2] = {0, 0};  // caches, parents
+  struct Warm {
+    double served = 0, rate = 0, members = 1;
+  } warm_caches, warm_pars;  // work lately got through all warm members of a role
   std::vector<RemapRule> rules;
   std::vector<Quiet> mean_work;  // by rule: sending time, from told sizes or hits
   std::vector<Quiet>
@@ -258,6 +263,9 @@
     if (now - x.started >= rule_of(x).warm_after) return;
     constexpr double kFirst = 2;  // a fresh member's cap; grows with its answers
     x.hops.cap = x.fills.cap = kFirst;
+    // A random phase: the first hops of many routers must not meet there.
+    x.spent = mean_txn * std::uniform_real_distribution<>(0, 1)(chance_source);
+    x.spent_at = now;
     x.failing = x.hold = 0;
     x.trial = 0;
     x.aside_until = -kNever;
@@ -357,14 +365,14 @@
 
   // Each router spends by itself, so that all together stay inside the stated multiple without knowing of
   // each other. Its part of a member is the told size over the routers that may send there; where no size is
-  // told, the rate it lately got through warm members of that role, since all routers' rates together fit
-  // into one member.
+  // told, the mean rate it lately got through the warm members of that role: all routers' together fit one.
   double cold_rate(const Member& x) const {
     constexpr double kMargin = 0.75;  // with the burst of a quarter under the stated multiple in any window
-    constexpr double kLeast = 0.25;   // a quarter of one transfer: less than any machine's part
     const bool par = x.role == Role::par;
-    const double part =
-        weights_tell ? x.weight / (par ? place.routers : place.seats) : std::max(kLeast, fair[par ? 1 : 0]);
+    const double routers = par ? place.routers : place.seats;
+    const auto& warm = par ? warm_pars : warm_caches;
+    // At least its part of one transfer: less than any machine's size.
+    const double part = weights_tell ? x.weight / routers : std::max(1 / routers, warm.rate / warm.members);
     return kMargin * rule_of(x).multiple * rule_of(x).share(now - x.started) * part;
   }
   // Hops count at their rule's mean, fills at a parent at their own work.
@@ -379,13 +387,18 @@
     x.spent = std::max(0.0, x.spent - cold_rate(x) * (now - x.spent_at)) + work;
     x.spent_at = now;
   }
-  void served(Member& x, double work) {
+  void served(const Member& x, double work) {
+    if (x.role != Role::origin && !is_cold(x)) (x.role == Role::par ? warm_pars : warm_caches).served += work;
+  }
+  void count_warm(Sec since) {
     constexpr Sec kOver = 4;  // smooths single heavy answers
-    x.served = x.served * std::exp(-(now - x.served_at) / kOver) + work / kOver;
-    x.served_at = now;
-    if (is_cold(x) || x.role == Role::origin) return;
-    auto& f = fair[x.role == Role::par ? 1 : 0];
-    f += (x.served - f) * 0.05;  // some tens of answers
+    for (auto* warm : {&warm_caches, &warm_pars}) {
+      warm->rate += (warm->served / since - warm->rate) * std::min(1.0, since / kOver);
+      warm->served = 0, warm->members = 1e-9;
+    }
+    for (const auto& x : members)
+      if (x.listed && x.ready && !is_cold(x) && (x.role == Role::par || x.location == place.location))
+        (x.role == Role::par ? warm_pars : warm_caches).members += 1;
   }
 
   // ---- purges (mechanism 5) ----------------------------------------------------------------------------
@@ -802,6 +815,7 @@
     forget_purges(purged_objects);
     forget_purges(purged_groups);
     look_for_silence();
+    count_warm(kTick);
     if (asks && now >= ask_at) {
       ask_at = kNever;  // once; again only after a failed call
       say({.kind = Decision::Kind::subscribe});
@@ -844,7 +858,6 @@
 
 }  // namespace
 
-// The seed starts std::mt19937 where a decision needs chance; none does so far.
-std::unique_ptr<Brain> make_brain(std::uint32_t) { return std::make_unique<Mind>(); }
+std::unique_ptr<Brain> make_brain(std::uint32_t seed) { return std::make_unique<Mind>(seed); }
 
 }  // namespace walkpaddle
