--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -745,7 +745,7 @@
     if (v == Verdict::not_taken || (r.uncacheable && may_hop_again(t))) {
       h.failed = h.failed && !r.uncacheable;
       // Turned away: again after a growing pause, so that a crowd is not answered with a storm.
-      return hold(i, 0.02 * (1 << std::min(4, t.turned_away++)));
+      return hold(i, (note == Note::origin_failed ? 0.5 : 0.02) * (1 << std::min(4, t.turned_away++)));
     }
     want(i);
   }
