Learn sending times from caches that report under 0.8 busy

The report is read by a call of its own; what is not told changes nothing. A wrong report can only slow the learning or bring back what was learned without it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -103,7 +103,7 @@
   int location = -1, kind = -1, cell = -1;
   Role role = Role::cache;
   bool listed = false, ready = false, seen = false, named = false, unreached = false;
-  double weight = 1;
+  double weight = 1, busy = -1;  // busy: as it reports, -1 if it does not
   Sec started = -kNever;
   // health
   double failing = 0;
@@ -117,13 +117,16 @@
   Sec spent_at = 0;
 };
 
-// A mean as it is in quiet: the first few count whatever is in flight, so that something is known at once.
+// A mean as it is in quiet; until quiet is seen, of whatever comes, so that something is known at once.
 struct Quiet {
   double mean = 0;
   int seen = 0;
+  bool was_quiet = false;
   void see(double value, bool quiet) {
-    constexpr int kFirst = 50;
-    if (seen < kFirst || quiet) mean += (value - mean) / std::min(++seen, kFirst);
+    constexpr int kOver = 50;
+    if (was_quiet && !quiet) return;
+    if (quiet && !was_quiet) was_quiet = true, seen = 0;
+    mean += (value - mean) / std::min(++seen, kOver);
   }
 };
 
@@ -182,6 +185,7 @@
     if (txns[i].live) expect_back(txns[i]);
     finish(txns[i]);
   }
+  void load_told(int m, double busy) override { member(m).busy = busy; }
   void purged(std::uint64_t object, Sec ago) override { note_purge(purged_objects, object, ago); }
   void purged_group(std::uint32_t group, Sec ago) override { note_purge(purged_groups, group, ago); }
   void woken() override {
@@ -709,7 +713,7 @@
       const bool late = took > r.sla_time + r.sla_stretch * work;
       const bool was_hit = note == Note::hit || note == Note::old_copy;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
-      if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.hops.used < 3);
+      if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.8 : x.hops.used < 3);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
       if (!was_hit) {
         late_fills[t.rule].see(late ? 1 : 0, link.used < 3);
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -272,6 +272,8 @@
                 s.ms("rules.overload_for")},
                {s.number("specifics.upper_cold_from", 1), s.number("specifics.upper_fall_multiple", 1),
                 s.ms("specifics.parent_warms_in"), s.ms("rules.overload_for")});
+    for (int n = 0; n < 4 && in.util_at < 0; ++n)
+      if (s.item("report.names", n) == "util" && s.text("report.source") == "answers") in.util_at = n;
     const auto weights = s.text("weights");
     b.set_weights(weights == "nominal" || weights == "rough");
     b.set_list(s.text("registry_mode") == "ask");
@@ -335,12 +337,16 @@
 void Host::completed(Instance& in, Fields& f) {
   const auto id = static_cast<std::uint32_t>(f.integer("msg_id"));
   const bool over = f.flag("ended");
-  f.text("server");
+  const auto server = f.text("server");
   f.number_or(0, "fill_wait");
   const auto verdict = verdict_of(f.integer("verdict"));
   const auto note = f.integer_or(0, "note");
   const int hop = static_cast<int>(f.integer_or(0, "n"));
   const Sec took = f.ms_or(0, "time_taken");
+  auto report = f.text_or("");
+  for (int n = 0; n < in.util_at; ++n) cut(report, ',');
+  if (const auto util = cut(report, ','); in.util_at >= 0 && !util.empty())
+    in.brain->load_told(member(in, server), parse<double>(util, "telemetry"));
   const auto at = in.txn_of.find(id);
   if (at == in.txn_of.end()) return;
   const int txn = at->second;
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -67,7 +67,7 @@
     std::unordered_map<std::uint32_t, int> txn_of;
     std::vector<Txn> txns;
     std::vector<int> free_txns;
-    int rules = 0;
+    int rules = 0, util_at = -1;  // util_at: place of the load report's util
   };
 
   void event(std::string_view name, Fields& f);
