Lost answers alone cut no limit; lost hops are called off without a budget

Change: such a hop counts as late only where a third of the late share that cuts was seen; the budget of moved hops leaves, the limits bound further hops. Should also help with a source that loses fills; could harm in a jam so deep that no answer comes at all: then health by silence acts.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -80,6 +80,10 @@
     least = std::clamp(8.0 / routers, 1.0, least);
   }
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
+  // A hop without an answer speaks of a crowd only where answers come late too: lost answers alone cut nothing.
+  void lost(Sec now) {
+    if (late > too_many / 3) answered(true, now);
+  }
   void answered(bool was_late, Sec now, double in_quiet = 0) {
     constexpr double kLately = 0.1;
     late += ((was_late ? 1 : 0) - in_quiet - late) * kLately;
@@ -212,7 +216,7 @@
       late_fills;  // by rule: the share of fills that looks late on a good day too, since sizes vary
   std::vector<std::pair<double, double>> excess;  // by rule: mean, deviation of hop times past the sending
   Quiet misses{.mean = 0.5};  // share of hops to a cache that draw a fill
-  double moves = 10, mean_txn = 0.4;
+  double mean_txn = 0.4;
 
   Counts counts;
   std::vector<Member> members;
@@ -341,10 +345,10 @@
         int m = stuck(h);
         if (m < 0 || now >= members[m].aside_until) {
           // Guards against hops that are lost one by one while their member answers others.
-          if (now - h.sent < patience_of(t) || moves < 1) continue;
-          moves -= 1;
+          if (now - h.sent < patience_of(t)) continue;
+
           m = h.fill ? h.source : h.member;
-          (h.fill ? members[m].fills : members[m].hops).answered(true, now);
+          (h.fill ? members[m].fills : members[m].hops).lost(now);
         }
         h.moving = true;
         (m == h.member ? h.failed : h.source_failed) = true;
@@ -362,7 +366,6 @@
     const double over = took - (t.kbytes > 0 ? work_of(t) : 0);
     dev += (std::abs(over - mean) - dev) * 0.02;  // some seconds of answers
     mean += (over - mean) * 0.02;
-    moves = std::min(moves + 0.1, 10.0);  // at most one txn in ten is moved so: no storm in a jam
   }
 
   // ---- cold budgets (mechanism 3) ----------------------------------------------------------------------
@@ -799,8 +802,8 @@
       return;
     }
     if (v == Verdict::timed_out && now > t.expires - 0.02) {
-      (h.fill || x.role != Role::cache ? link : x.hops).answered(true, now);
-      if (h.fill) members[h.source].fills.answered(true, now);
+      (h.fill || x.role != Role::cache ? link : x.hops).lost(now);
+      if (h.fill) members[h.source].fills.lost(now);
       return;
     }
     x.unreached = x.unreached || v == Verdict::no_connection;
