--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,11 +38,8 @@
   struct Entry {
     std::uint64_t object = 0;
     float count = 0;
-    int sib = -1;
-    Sec sib_at = -kNever;
-    int owed = 0;
-    Sec owed_at = -kNever;
-    Sec used = -kNever;
+    int sib = -1, owed = 0;
+    Sec sib_at = -kNever, owed_at = -kNever, used = -kNever;
   };
   // A set of four that is full gives up its lowest count, of equals the one longest unused.
   Entry& at(std::uint64_t object, Sec now) {
@@ -80,7 +77,8 @@
     least = std::clamp(8.0 / routers, 1.0, least);
   }
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
-  // A hop without an answer speaks of a crowd only where answers come late too: lost answers alone cut nothing.
+  // A hop without an answer speaks of a crowd only where answers come late too: lost answers alone cut
+  // nothing.
   void lost(Sec now) {
     if (late > too_many / 3) answered(true, now);
   }
@@ -104,18 +102,16 @@
 
 struct Member {
   std::uint64_t hash = 0;
-  int location = -1, kind = -1, cell = -1;
+  int location = -1, cell = -1;
   Role role = Role::cache;
   bool listed = false, ready = false, seen = false, named = false, unreached = false;
   double weight = 1, busy = -1;  // busy: as it reports, -1 if it does not
   Sec started = -kNever;
-  // health
   double failing = 0;
   Sec aside_until = -kNever, hold = 0;
   int trial = 0, out = 0;
   Sec heard = -kNever, busy_since = 0;
   double gap = 0.1;
-  // load
   Limit hops, fills{.too_many = 0.15, .least = 1};
   double spent = 0;
   Sec spent_at = 0;
@@ -182,7 +178,13 @@
     for (auto& x : members) x.named = !whole;
   }
   void list_end() override {
-    for (auto& x : members) x.listed = x.listed && x.named;  // not in a whole list: gone
+    for (auto& all : listed) all.clear();
+    for (std::size_t m = 0; m < members.size(); ++m) {
+      auto& x = members[m];
+      x.listed = x.listed && x.named;  // not in a whole list: gone
+      if (x.listed && (x.role != Role::cache || x.location == place.location))
+        listed[static_cast<int>(x.role)].push_back(static_cast<int>(m));
+    }
   }
   void list_failed() override { ask_at = now + 1; }
   void txn_left(int i) override {
@@ -211,20 +213,20 @@
     double served = 0, rate = 0, members = 1;
   } warm_caches, warm_pars;  // work lately got through all warm members of a role
   std::vector<RemapRule> rules;
-  std::vector<Quiet> mean_work;  // by rule: sending time, from told sizes or hits
-  std::vector<Quiet>
-      late_fills;  // by rule: the share of fills that looks late on a good day too, since sizes vary
+  std::vector<Quiet> mean_work;   // by rule: sending time, from told sizes or hits
+  std::vector<Quiet> late_fills;  // by rule: the share that looks late on a good day too, since sizes vary
   std::vector<std::pair<double, double>> excess;  // by rule: mean, deviation of hop times past the sending
-  Quiet misses{.mean = 0.5};  // share of hops to a cache that draw a fill
+  Quiet misses{.mean = 0.5};                      // share of hops to a cache that draw a fill
   double mean_txn = 0.4;
 
   Counts counts;
   std::vector<Member> members;
+  std::vector<int> listed[3];  // by role: those a hop may go to
   std::vector<Txn> txns;
-  Limit link{.cap = 8, .too_many = 0.13, .least = 1.5};       // this router's fills over the location's link in
-  std::set<std::pair<Sec, int>> due;  // txns that wait for a time
-  std::vector<int> waiting;           // txns that wait for room
-  std::vector<int> ready;             // txns that want a decision
+  Limit link{.cap = 8, .too_many = 0.13, .least = 1.5};  // this router's fills over the location's link in
+  std::set<std::pair<Sec, int>> due;                     // txns that wait for a time
+  std::vector<int> waiting;                              // txns that wait for room
+  std::vector<int> ready;                                // txns that want a decision
   std::vector<Decision> said;
   std::size_t said_from = 0;
   std::map<std::uint64_t, Sec> purged_objects, purged_groups;
@@ -241,10 +243,7 @@
                    Sec started) override {
     auto& x = member(m);
     const bool returns = x.seen && !x.listed, first = !x.seen;
-    x.hash = hash;
-    x.location = location;
-    x.kind = kind;
-    x.cell = cell;
+    x.hash = hash, x.location = location, x.cell = cell;
     x.role = kind == roles.origin_kind             ? Role::origin
              : kind == roles.par_kind && kind >= 0 ? Role::par
                                                    : Role::cache;
@@ -257,26 +256,19 @@
       const int routers = x.role == Role::cache ? place.seats : place.routers;
       x.hops.share(routers), x.fills.share(routers);
     }
-    if (started > x.started + 1e-3 && started > 0) {
-      x.started = started;
-    } else if (returns && !is_cold(x)) {
-      x.started = now;  // back from being gone with no new start told: taken as fresh
-    } else {
-      return;
-    }
-    begin_afresh(x);
+    const bool told = started > x.started + 1e-3 && started > 0;
+    // Back from being gone with no new start told: taken as fresh.
+    if (told || (returns && !is_cold(x))) begin_afresh(x, told ? started : now);
   }
 
-  void begin_afresh(Member& x) {
-    if (now - x.started >= rule_of(x).warm_after) return;
+  void begin_afresh(Member& x, Sec started) {
+    x.started = started;
+    if (!is_cold(x)) return;
     constexpr double kFirst = 2;  // a fresh member's cap; grows with its answers
     x.hops.cap = x.fills.cap = kFirst;
     // A random phase: the first hops of many routers must not meet there.
-    x.spent = mean_txn * std::uniform_real_distribution<>(0, 1)(chance_source);
-    x.spent_at = now;
-    x.failing = x.hold = 0;
-    x.trial = 0;
-    x.aside_until = -kNever;
+    x.spent = mean_txn * std::uniform_real_distribution<>(0, 1)(chance_source), x.spent_at = now;
+    x.failing = x.hold = 0, x.trial = 0, x.aside_until = -kNever;
   }
 
   const ColdStart& rule_of(const Member& x) const { return x.role == Role::par ? cold_par : cold_cache; }
@@ -321,13 +313,13 @@
   // that wait there are moved.
   void look_for_silence() {
     std::vector<int> waiting(members.size());
-    const auto patience = [&](const Member& x) { return std::clamp(8 * x.gap, 0.6, 5.0); };
-    const auto stuck = [&](const Hop& h) -> int {
-      const auto& c = members[h.member];
-      if (now - std::max({c.heard, c.busy_since, h.sent}) > patience(c)) return h.member;
-      if (h.source < 0 || h.source == h.member) return -1;
-      const auto& s = members[h.source];
-      return h.fill && now - std::max({s.heard, s.busy_since, h.sent}) > patience(s) ? h.source : -1;
+    const auto silent = [&](const Member& x, Sec sent) {
+      return now - std::max({x.heard, x.busy_since, sent}) > std::clamp(8 * x.gap, 0.6, 5.0);
+    };
+    const auto stuck = [&](const Hop& h) {
+      return silent(members[h.member], h.sent)             ? h.member
+             : h.fill && silent(members[h.source], h.sent) ? h.source
+                                                           : -1;
     };
     for (const auto& t : txns)
       for (const auto& h : t.hops)
@@ -403,9 +395,8 @@
       warm->rate += (warm->served / since - warm->rate) * std::min(1.0, since / kOver);
       warm->served = 0, warm->members = 1e-9;
     }
-    for (const auto& x : members)
-      if (x.listed && x.ready && !is_cold(x) && (x.role == Role::par || x.location == place.location))
-        (x.role == Role::par ? warm_pars : warm_caches).members += 1;
+    for (const int m : listed[0]) warm_caches.members += members[m].ready && !is_cold(members[m]);
+    for (const int m : listed[1]) warm_pars.members += members[m].ready && !is_cold(members[m]);
   }
 
   // ---- purges (mechanism 5) ----------------------------------------------------------------------------
@@ -448,11 +439,8 @@
   // Members of a role in the hash order of an object.
   std::vector<int> order(std::uint64_t object, Role role) const {
     std::vector<std::pair<std::uint64_t, int>> ranked;
-    for (std::size_t m = 0; m < members.size(); ++m) {
-      const auto& x = members[m];
-      if (!x.listed || x.role != role || (role == Role::cache && x.location != place.location)) continue;
-      ranked.emplace_back(mix(object ^ mix(x.hash)), static_cast<int>(m));
-    }
+    for (const int m : listed[static_cast<int>(role)])
+      ranked.emplace_back(mix(object ^ mix(members[m].hash)), m);
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<int> all;
     for (const auto& [score, m] : ranked) all.push_back(m);
@@ -514,7 +502,8 @@
       return !failed_at(t, m) && x.hops.room(w) && x.hops.used + w <= fair_part && cold_room(x, work);
     };
     p.member = first_of(caches, [&](int m) {
-      return takes(m) && ((sib_known && e.sib == m) || (members[m].fills.room(w * chance) && link.room(w * chance)));
+      return takes(m) &&
+             ((sib_known && e.sib == m) || (members[m].fills.room(w * chance) && link.room(w * chance)));
     });
     if (p.member >= 0) {
       if (!t.keep && filling.siblings != Siblings::none && sib_known && e.sib != p.member &&
@@ -526,8 +515,8 @@
       p.source = pick_source(t);
       if (p.source >= 0) return p;
     }
-    // No room for a fill: the cache that would hold the object is asked for what it holds, once. Guards against
-    // hits that wait behind fills, whatever holds those up.
+    // No room for a fill: the cache that would hold the object is asked for what it holds, once. Guards
+    // against hits that wait behind fills, whatever holds those up.
     if (!t.looked)
       if (const int m = first_of(caches, takes); m >= 0) return {m, m, false};
     // No cache of the location can take it: straight to a parent. Never because the caches are merely full.
@@ -557,8 +546,7 @@
   void want(int i) {
     auto& t = txns[i];
     if (!t.live || t.queued) return;
-    t.queued = true;
-    ready.push_back(i);
+    t.queued = true, ready.push_back(i);
   }
 
   // What the rule of effects allows now.
@@ -586,8 +574,7 @@
   void expect_back(const Txn& t) {
     if (rules[t.rule].uncacheable) return;
     auto& e = counts.at(t.object, now);
-    e.owed = std::min(e.owed + 1, 20);
-    e.owed_at = now;
+    e.owed = std::min(e.owed + 1, 20), e.owed_at = now;
   }
 
   void give_up(int i) {
@@ -632,20 +619,10 @@
     h.fill = p.source != p.member && !(e.sib == p.member && now - e.sib_at < 10);
     if (h.fill && x.role == Role::cache && !t.looked && !r.uncacheable) h.chance = misses.mean;
     t.looked = t.looked || (p.source == p.member && x.role == Role::cache);
-    if (x.out++ == 0) x.busy_since = now;
-    x.hops.used += h.weight;
-    if (x.role != Role::cache) x.fills.used += h.weight;
-    if (h.fill || x.role != Role::cache) link.used += h.weight * h.chance;
+    charge(h, 1);
     spend(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
-    if (p.source >= 0 && p.source != p.member) {
-      auto& s = members[p.source];
-      if (h.fill) {
-        if (s.out++ == 0) s.busy_since = now;
-        s.fills.used += h.weight * h.chance;
-        x.fills.used += h.weight * h.chance;
-      }
+    if (auto& s = members[p.source]; p.source != p.member)
       spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
-    }
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
     d.rank = t.keep && x.role == Role::cache && !r.uncacheable ? kMiddleRank : 0;
     d.join = filling.join && !r.uncacheable && t.hops.empty();  // a further hop must not wait for a lost fill
@@ -660,9 +637,7 @@
                  Sec expires, bool repeat) override {
     if (i >= static_cast<int>(txns.size())) txns.resize(i + 1);
     auto& t = txns[i];
-    t = {};
-    t.live = true;
-    t.rule = rule, t.object = object, t.group = group, t.kbytes = kbytes;
+    t = {.live = true, .rule = rule, .object = object, .group = group, .kbytes = kbytes};
     t.taken = now, t.expires = expires;
     if (kbytes > 0 && filling.pace > 0) mean_work[rule].see(kbytes / filling.pace, true);
     if (!rules[rule].uncacheable) {
@@ -676,45 +651,46 @@
     want(i);
   }
 
-  void release(Txn& t, Hop& h) {
-    h.out = false;
-    --t.out;
+  // A hop weighs on its member and, by its chance, on the link and its source: from 1, sending, to -1, its
+  // end.
+  void charge(Hop& h, int sign) {
+    const double weight = sign * h.weight, fill = weight * h.chance;
+    const auto hold = [&](Member& m) {
+      if (m.out == 0) m.busy_since = now;
+      m.out += sign;
+    };
     auto& x = members[h.member];
-    --x.out;
-    x.hops.used -= h.weight;
-    if (x.role != Role::cache) x.fills.used -= h.weight;
-    if (h.fill || x.role != Role::cache) link.used -= h.weight * h.chance;
-    if (h.fill) {
-      --members[h.source].out;
-      members[h.source].fills.used -= h.weight * h.chance;
-      x.fills.used -= h.weight * h.chance;
-    }
+    hold(x);
+    x.hops.used += weight;
+    if (h.fill || x.role != Role::cache) x.fills.used += fill, link.used += fill;
+    if (h.fill) hold(members[h.source]), members[h.source].fills.used += fill;
   }
 
   void hop_ended(int i, int n, Verdict v, Note note, Sec took, bool over) override {
     auto& t = txns[i];
     if (n < 0 || n >= static_cast<int>(t.hops.size()) || !t.hops[n].out) return;
     auto& h = t.hops[n];
-    release(t, h);
+    h.out = false;
+    --t.out;
+    charge(h, -1);
     const auto& r = rules[t.rule];
     auto& x = members[h.member];
     const bool other_source = h.source >= 0 && h.source != h.member;
     const double work = work_of(t);
+    const bool was_hit = note == Note::hit || note == Note::old_copy;
     if (v != Verdict::timed_out && v != Verdict::no_connection && v != Verdict::called_off &&
         v != Verdict::not_sent)
       heard_from(h.member);
-    if (other_source && (v == Verdict::completed ? note != Note::hit && note != Note::old_copy
-                                                 : note >= Note::source_refused))
-      if (note != Note::source_unreached && note != Note::no_fill_place) heard_from(h.source);
+    if (other_source && (v == Verdict::completed ? !was_hit : note >= Note::source_refused) &&
+        note != Note::source_unreached && note != Note::no_fill_place)
+      heard_from(h.source);
     if (v == Verdict::completed) {
       if (is_cold(x)) x.hops.cap += 0.25, x.fills.cap += 0.25;  // a fresh cap grows with its answers
-      if (std::exchange(x.unreached, false) && !is_cold(x))
-        x.started = now, begin_afresh(x);  // may have restarted
+      if (std::exchange(x.unreached, false) && !is_cold(x)) begin_afresh(x, now);  // may have restarted
       went_well(h.member);
       took_so_long(t, took);
       served(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
       const bool late = took > r.sla_time + r.sla_stretch * work;
-      const bool was_hit = note == Note::hit || note == Note::old_copy;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
       if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.8 : x.hops.used < 3);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
@@ -730,22 +706,17 @@
         x.fills.answered(false, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
-      // In a flow of parts, a copy found, here or at a parent, stands for a txn that another router counted: a
-      // location with many routers would else pass popular flows through. Could harm where it is this router's.
-      if (auto& e = counts.at(t.object, now); r.in_parts && note != Note::by_origin)
-        e.count = std::max(e.count, static_cast<float>(2 * kThreshold));
-      if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) {
-        auto& e = counts.at(t.object, now);
-        e.sib = h.member;
-        e.sib_at = now;
-      }
+      auto& e = counts.at(t.object, now);
+      // In a flow of parts, a copy found here or at a parent stands for a txn that another router counted:
+      // many routers would else pass popular flows through. Could harm where it is this router's own.
+      if (r.in_parts && note != Note::by_origin) e.count = std::max<float>(e.count, 2 * kThreshold);
+      if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) e.sib = h.member, e.sib_at = now;
     } else if (v != Verdict::called_off && v != Verdict::not_sent) {
       h.failed = true;
       blame(t, h, v, note);
     }
     if (!proves_not_run(v) && v != Verdict::completed && t.may_have_run >= kNever) {
-      t.may_have_run = h.sent;
-      t.ran_at = h.member;
+      t.may_have_run = h.sent, t.ran_at = h.member;
     }
     if (over) finish(t);
     if (!t.live) return;
@@ -765,32 +736,18 @@
   void blame(Txn& t, Hop& h, Verdict v, Note note) {
     auto& x = members[h.member];
     const bool other_source = h.source >= 0 && h.source != h.member;
-    if (other_source && note >= Note::source_refused && note != Note::no_fill_place) {
-      h.source_failed = true;  // the cache is as good as before
-      h.failed = false;
-    }
-    switch (note) {
-      case Note::source_lacks:
-        forget_sib(t, h.source);
-        return;
-      case Note::source_refused:
-        if (other_source) members[h.source].fills.cut(now);
-        return;
-      case Note::source_unreached:
-        if (other_source) went_wrong(h.source, false);
-        return;
-      case Note::no_fill_place:
-        x.fills.cut(now);
-        [[fallthrough]];
-      case Note::origin_failed:
-        return;
-      default:
-        break;
+    if (note >= Note::source_refused) {
+      h.source_failed = other_source && note != Note::no_fill_place;
+      h.failed = !h.source_failed;  // else the cache is as good as before
+      if (note == Note::source_lacks) forget_sib(t, h.source);
+      if (note == Note::source_refused && other_source) members[h.source].fills.cut(now);
+      if (note == Note::source_unreached && other_source) went_wrong(h.source, false);
+      if (note == Note::no_fill_place) x.fills.cut(now);
+      return;
     }
-    if (v == Verdict::lacking && h.source == h.member) return void(h.failed = false);  // only looked
     if (v == Verdict::lacking) {
       h.source_failed = h.held_only;
-      h.failed = !h.held_only;
+      h.failed = !h.held_only && other_source;  // not where it was only asked for what it holds
       if (h.held_only) forget_sib(t, h.source);
       return;
     }
@@ -845,8 +802,7 @@
 
   std::optional<Decision> next() override {
     if (said_from < said.size()) return said[said_from++];
-    said.clear();
-    said_from = 0;
+    said.clear(), said_from = 0;
     if (now >= tick_at) tick();
     while (!due.empty() && due.begin()->first <= now) {
       const int i = due.begin()->second;
