Hash order by told size

The parents told different sizes and got equal shares. Change: weighted hash order, the same at every router as sizes are told to all. Harm only where told sizes are wrong.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -436,12 +436,15 @@
 
   // ---- picking -----------------------------------------------------------------------------------------
 
-  // Members of a role in the hash order of an object.
+  // Members of a role in the hash order of an object, each by its told size: a member of twice the size comes
+  // first for twice the objects. Guards against small parents that jam while large ones have room.
   std::vector<int> order(std::uint64_t object, Role role) const {
-    std::vector<std::pair<std::uint64_t, int>> ranked;
-    for (const int m : listed[static_cast<int>(role)])
-      ranked.emplace_back(mix(object ^ mix(members[m].hash)), m);
-    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::pair<double, int>> ranked;
+    for (const int m : listed[static_cast<int>(role)]) {
+      const double u = (static_cast<double>(mix(object ^ mix(members[m].hash)) >> 11) + 0.5) * 0x1p-53;
+      ranked.emplace_back(-std::log(u) / members[m].weight, m);
+    }
+    std::sort(ranked.begin(), ranked.end());
     std::vector<int> all;
     for (const auto& [score, m] : ranked) all.push_back(m);
     return all;
