--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -210,8 +210,8 @@
   Clients clients;
   ColdStart cold_cache, cold_par;
   struct Warm {
-    double served = 0, rate = 0, members = 1;
-  } warm_caches, warm_pars;  // work lately got through all warm members of a role
+    double served = 0, rate = 0;
+  } warm[2];  // caches, parents: work lately got through a warm member, in the mean
   std::vector<RemapRule> rules;
   std::vector<Quiet> mean_work;   // by rule: sending time, from told sizes or hits
   std::vector<Quiet> late_fills;  // by rule: the share that looks late on a good day too, since sizes vary
@@ -369,9 +369,8 @@
     constexpr double kMargin = 0.75;  // with the burst of a quarter under the stated multiple in any window
     const bool par = x.role == Role::par;
     const double routers = par ? place.routers : place.seats;
-    const auto& warm = par ? warm_pars : warm_caches;
     // At least its part of one transfer: less than any machine's size.
-    const double part = weights_tell ? x.weight / routers : std::max(1 / routers, warm.rate / warm.members);
+    const double part = weights_tell ? x.weight / routers : std::max(1 / routers, warm[par].rate);
     return kMargin * rule_of(x).multiple * rule_of(x).share(now - x.started) * part;
   }
   // Hops count at their rule's mean, fills at a parent at their own work.
@@ -387,16 +386,19 @@
     x.spent_at = now;
   }
   void served(const Member& x, double work) {
-    if (x.role != Role::origin && !is_cold(x)) (x.role == Role::par ? warm_pars : warm_caches).served += work;
+    if (x.role != Role::origin && !is_cold(x)) warm[x.role == Role::par].served += work;
   }
   void count_warm(Sec since) {
     constexpr Sec kOver = 4;  // smooths single heavy answers
-    for (auto* warm : {&warm_caches, &warm_pars}) {
-      warm->rate += (warm->served / since - warm->rate) * std::min(1.0, since / kOver);
-      warm->served = 0, warm->members = 1e-9;
+    for (const auto role : {Role::cache, Role::par}) {
+      auto& w = warm[role == Role::par];
+      const auto& all = listed[static_cast<int>(role)];
+      const auto members_warm =
+          std::ranges::count_if(all, [&](int m) { return members[m].ready && !is_cold(members[m]); });
+      // With none warm, what was known of them stands.
+      if (members_warm > 0) w.rate += (w.served / members_warm / since - w.rate) * since / kOver;
+      w.served = 0;
     }
-    for (const int m : listed[0]) warm_caches.members += members[m].ready && !is_cold(members[m]);
-    for (const int m : listed[1]) warm_pars.members += members[m].ready && !is_cold(members[m]);
   }
 
   // ---- purges (mechanism 5) ----------------------------------------------------------------------------
@@ -615,14 +617,16 @@
     const auto& r = rules[t.rule];
     const auto& e = counts.at(t.object, now);
     const double work = work_of(t);
-    Hop h;
-    h.member = p.member, h.source = p.source, h.held_only = p.held_only;
-    h.sent = now, h.weight = weight_of(t);
+    Hop h{.member = p.member,
+          .source = p.source,
+          .held_only = p.held_only,
+          .sent = now,
+          .weight = weight_of(t)};
     auto& x = members[p.member];
     h.fill = p.source != p.member && !(e.sib == p.member && now - e.sib_at < 10);
     if (h.fill && x.role == Role::cache && !t.looked && !r.uncacheable) h.chance = misses.mean;
     t.looked = t.looked || (p.source == p.member && x.role == Role::cache);
-    charge(h, 1);
+    charge(t, h, 1);
     spend(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
     if (auto& s = members[p.source]; p.source != p.member)
       spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
@@ -632,7 +636,6 @@
     d.held_only = p.held_only;
     if (!r.uncacheable) d.age = age_limit(t, old_will_do(t, p.source));
     t.hops.push_back(h);
-    ++t.out;
     say(std::move(d));
   }
 
@@ -656,7 +659,8 @@
 
   // A hop weighs on its member and, by its chance, on the link and its source: from 1, sending, to -1, its
   // end.
-  void charge(Hop& h, int sign) {
+  void charge(Txn& t, Hop& h, int sign) {
+    t.out += sign, h.out = sign > 0;
     const double weight = sign * h.weight, fill = weight * h.chance;
     const auto hold = [&](Member& m) {
       if (m.out == 0) m.busy_since = now;
@@ -673,9 +677,7 @@
     auto& t = txns[i];
     if (n < 0 || n >= static_cast<int>(t.hops.size()) || !t.hops[n].out) return;
     auto& h = t.hops[n];
-    h.out = false;
-    --t.out;
-    charge(h, -1);
+    charge(t, h, -1);
     const auto& r = rules[t.rule];
     auto& x = members[h.member];
     const bool other_source = h.source >= 0 && h.source != h.member;
@@ -779,8 +781,7 @@
       if (halve_at > 0) counts.halve();
       halve_at = now + kHalving;
     }
-    forget_purges(purged_objects);
-    forget_purges(purged_groups);
+    for (auto* table : {&purged_objects, &purged_groups}) forget_purges(*table);
     look_for_silence();
     count_warm(kTick);
     if (asks && now >= ask_at) {
