--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -71,14 +71,14 @@
   double cap = 16, used = 0, late = 0;
   double too_many = 0.3, least = 4;  // sizes vary: a tenth looks late on a good day
   Sec cut_at = -kNever;
-  // Each of many routers starts with its part of a small machine's work, and is cut to no less than one hop.
+  // Each of many routers starts with its part of a small machine's work, at least three hops: fewer, and
+  // objects leave their member too often; and is cut to no less than one.
   void share(int routers) {
-    cap = std::clamp(32.0 / routers, 2.0, cap);
+    cap = std::clamp(32.0 / routers, 3.0, cap);
     least = std::clamp(8.0 / routers, 1.0, least);
   }
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
-  // A hop without an answer speaks of a crowd only where answers come late too: lost answers alone cut
-  // nothing.
+  // Lost answers alone cut nothing: a hop without one speaks of a crowd only where answers come late too.
   void lost(Sec now) {
     if (late > too_many / 3) answered(true, now);
   }
@@ -93,8 +93,7 @@
   void cut(Sec now) {
     constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
     if (now - cut_at < kPause) return;
-    cut_at = now;
-    cap = std::max(least, cap * 0.8);
+    cut_at = now, cap = std::max(least, cap * 0.8);
   }
 };
 
@@ -317,9 +316,8 @@
       return now - std::max({x.heard, x.busy_since, sent}) > std::clamp(8 * x.gap, 0.6, 5.0);
     };
     const auto stuck = [&](const Hop& h) {
-      return silent(members[h.member], h.sent)             ? h.member
-             : h.fill && silent(members[h.source], h.sent) ? h.source
-                                                           : -1;
+      if (silent(members[h.member], h.sent)) return h.member;
+      return h.fill && silent(members[h.source], h.sent) ? h.source : -1;
     };
     for (const auto& t : txns)
       for (const auto& h : t.hops)
@@ -657,8 +655,7 @@
     want(i);
   }
 
-  // A hop weighs on its member and, by its chance, on the link and its source: from 1, sending, to -1, its
-  // end.
+  // A hop weighs on its member and, by its chance, on the link and its source: 1 at its start, -1 at its end.
   void charge(Txn& t, Hop& h, int sign) {
     t.out += sign, h.out = sign > 0;
     const double weight = sign * h.weight, fill = weight * h.chance;
