--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -698,13 +698,13 @@
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
       if (!was_hit) {
         late_fills[t.rule].see(late ? 1 : 0, link.used < 3);
-        link.answered(late, now, late_fills[t.rule].mean);
+        link.answered(late, now, std::min(0.1, late_fills[t.rule].mean));
       }
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.answered(late, now, late_fills[t.rule].mean);
+        s.fills.answered(late, now, std::min(0.1, late_fills[t.rule].mean));
         x.fills.answered(false, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
