No lateness in quiet is learned any more

A fixed 0.05 in the cut shares of link and sources (0.18, 0.20) does what the learned share did where it worked.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -82,9 +82,9 @@
   void lost(Sec now) {
     if (late > too_many / 3) answered(true, now);
   }
-  void answered(bool was_late, Sec now, double in_quiet = 0) {
+  void answered(bool was_late, Sec now) {
     constexpr double kLately = 0.1;
-    late += ((was_late ? 1 : 0) - in_quiet - late) * kLately;
+    late += ((was_late ? 1 : 0) - late) * kLately;
     if (late > too_many)
       cut(now);
     else if (!was_late && used > cap / 2)
@@ -111,7 +111,7 @@
   int trial = 0, out = 0;
   Sec heard = -kNever, busy_since = 0;
   double gap = 0.1;
-  Limit hops, fills{.too_many = 0.15, .least = 1};
+  Limit hops, fills{.too_many = 0.2, .least = 1};
   double spent = 0;
   Sec spent_at = 0;
 };
@@ -160,7 +160,6 @@
   void add_rule(const RemapRule& rule) override {
     rules.push_back(rule);
     excess.emplace_back(rule.sla_time, rule.sla_time);
-    late_fills.emplace_back();
     mean_work.push_back({.mean = rule.sla_time});  // until hits tell: longer than most sendings
   }
   void set_hopping(const Hopping& h) override { hopping = h; }
@@ -212,8 +211,7 @@
     double served = 0, rate = 0;
   } warm[2];  // caches, parents: work lately got through a warm member, in the mean
   std::vector<RemapRule> rules;
-  std::vector<Quiet> mean_work;   // by rule: sending time, from told sizes or hits
-  std::vector<Quiet> late_fills;  // by rule: the share that looks late on a good day too, since sizes vary
+  std::vector<Quiet> mean_work;                   // by rule: sending time, from told sizes or hits
   std::vector<std::pair<double, double>> excess;  // by rule: mean, deviation of hop times past the sending
   Quiet misses{.mean = 0.5};                      // share of hops to a cache that draw a fill
   double mean_txn = 0.4;
@@ -222,7 +220,7 @@
   std::vector<Member> members;
   std::vector<int> listed[3];  // by role: those a hop may go to
   std::vector<Txn> txns;
-  Limit link{.cap = 8, .too_many = 0.13, .least = 1.5};  // this router's fills over the location's link in
+  Limit link{.cap = 8, .too_many = 0.18, .least = 1.5};  // this router's fills over the location's link in
   std::set<std::pair<Sec, int>> due;                     // txns that wait for a time
   std::vector<int> waiting;                              // txns that wait for room
   std::vector<int> ready;                                // txns that want a decision
@@ -696,15 +694,12 @@
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
       if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.8 : x.hops.used < 3);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
-      if (!was_hit) {
-        late_fills[t.rule].see(late ? 1 : 0, link.used < 3);
-        link.answered(late, now, std::min(0.1, late_fills[t.rule].mean));
-      }
+      if (!was_hit) link.answered(late, now);
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.answered(late, now, std::min(0.1, late_fills[t.rule].mean));
+        s.fills.answered(late, now);
         x.fills.answered(false, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
