--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -68,8 +68,8 @@
 // Mechanism 1. Guards against crowding of any cause: slots, links in and out, fill places. Grows by one with
 // each capful of answers in time, is cut by a share when too many come late or are turned away.
 struct Limit {
-  double cap = 16, used = 0, late = 0;
-  double too_many = 0.3, least = 4;  // sizes vary: a tenth looks late on a good day
+  static constexpr double kTooMany = 0.17;  // late; sizes vary: a tenth looks late on a good day
+  double cap = 16, used = 0, late = 0, least = 4;
   Sec cut_at = -kNever;
   // Each of many routers starts with its part of a small machine's work, at least three hops: fewer, and
   // objects leave their member too often; and is cut to no less than one.
@@ -80,12 +80,12 @@
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
   // Lost answers alone cut nothing: a hop without one speaks of a crowd only where answers come late too.
   void lost(Sec now) {
-    if (late > too_many / 3) answered(true, now);
+    if (late > kTooMany / 3) answered(true, now);
   }
   void answered(bool was_late, Sec now) {
     constexpr double kLately = 0.1;
     late += ((was_late ? 1 : 0) - late) * kLately;
-    if (late > too_many)
+    if (late > kTooMany)
       cut(now);
     else if (!was_late && used > cap / 2)
       cap += 1 / cap;
@@ -111,7 +111,7 @@
   int trial = 0, out = 0;
   Sec heard = -kNever, busy_since = 0;
   double gap = 0.1;
-  Limit hops, fills{.too_many = 0.2, .least = 1};
+  Limit hops, fills{.least = 1};
   double spent = 0;
   Sec spent_at = 0;
 };
@@ -220,10 +220,10 @@
   std::vector<Member> members;
   std::vector<int> listed[3];  // by role: those a hop may go to
   std::vector<Txn> txns;
-  Limit link{.cap = 8, .too_many = 0.18, .least = 1.5};  // this router's fills over the location's link in
-  std::set<std::pair<Sec, int>> due;                     // txns that wait for a time
-  std::vector<int> waiting;                              // txns that wait for room
-  std::vector<int> ready;                                // txns that want a decision
+  Limit link{.cap = 8, .least = 1.5};  // this router's fills over the location's link in
+  std::set<std::pair<Sec, int>> due;   // txns that wait for a time
+  std::vector<int> waiting;            // txns that wait for room
+  std::vector<int> ready;              // txns that want a decision
   std::vector<Decision> said;
   std::size_t said_from = 0;
   std::map<std::uint64_t, Sec> purged_objects, purged_groups;
