--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -68,7 +68,7 @@
 // Mechanism 1. Guards against crowding of any cause: slots, links in and out, fill places. Grows by one with
 // each capful of answers in time, is cut by a share when too many come late or are turned away.
 struct Limit {
-  static constexpr double kTooMany = 0.17;  // late; sizes vary: a tenth looks late on a good day
+  static constexpr double kTooMany = 0.15;  // late; sizes vary: a tenth looks late on a good day
   double cap = 16, used = 0, late = 0, least = 4;
   Sec cut_at = -kNever;
   // Each of many routers starts with its part of a small machine's work, at least three hops: fewer, and
@@ -80,14 +80,14 @@
   bool room(double weight) const { return used <= 0 || used + weight <= cap; }
   // Lost answers alone cut nothing: a hop without one speaks of a crowd only where answers come late too.
   void lost(Sec now) {
-    if (late > kTooMany / 3) answered(true, now);
+    if (late > kTooMany / 3) answered(1, now);
   }
-  void answered(bool was_late, Sec now) {
+  void answered(double lateness, Sec now) {
     constexpr double kLately = 0.1;
-    late += ((was_late ? 1 : 0) - late) * kLately;
+    late += (lateness - late) * kLately;
     if (late > kTooMany)
       cut(now);
-    else if (!was_late && used > cap / 2)
+    else if (lateness <= 0 && used > cap / 2)
       cap += 1 / cap;
   }
   void cut(Sec now) {
@@ -690,7 +690,9 @@
       went_well(h.member);
       took_so_long(t, took);
       served(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
-      const bool late = took > r.sla_time + r.sla_stretch * work;
+      // With neither sizes nor loads told, a late answer may be a big object's: it speaks less of a crowd.
+      const double sure = t.kbytes > 0 || x.busy >= 0 ? 1 : 0.8;
+      const double late = took > r.sla_time + r.sla_stretch * work ? sure : 0;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
       if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.8 : x.hops.used < 3);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
@@ -700,7 +702,7 @@
         auto& s = members[h.source];
         served(s, work);
         s.fills.answered(late, now);
-        x.fills.answered(false, now);
+        x.fills.answered(0, now);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
       auto& e = counts.at(t.object, now);
