--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -108,7 +108,7 @@
     if (what == "#") {
       std::printf("%s\n", text.c_str());
     } else if (what == "setup") {
-      brain.set_place({0, 1, static_cast<int>(l.num("routers", 2))});
+      brain.set_place({0, static_cast<int>(l.num("seats", 1)), static_cast<int>(l.num("routers", 2))});
       brain.set_roles({8, 9, l.num("direct", 1) > 0});
       brain.set_hopping(
           {static_cast<int>(l.num("hops", 6)), l.num("second") > 0, l.num("calloff", 1) > 0, false});
@@ -132,6 +132,7 @@
       r.late_share = 0.15;
       r.importance = l.num("importance", 1);
       r.uncacheable = l.num("uncacheable") > 0;
+      r.in_parts = l.num("parts") > 0;
       brain.add_rule(r);
     } else if (what == "cache" || what == "par" || what == "origin") {
       brain.list_begin(false);
@@ -158,6 +159,8 @@
       brain.hop_ended(index_of(txns, l.words[1]), static_cast<int>(l.num("hop")), verdict,
                       static_cast<Note>(l.pick("note", kNotes)), l.num("took", 0.1),
                       l.num("over", verdict == Verdict::completed) > 0);
+    } else if (what == "busy") {
+      brain.load_told(index_of(members, l.words[1]), l.num("share"));
     } else if (what == "left") {
       brain.txn_left(index_of(txns, l.words[1]));
     } else if (what == "purge") {
