--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -61,7 +61,7 @@
   }
 
  private:
-  static constexpr std::size_t kSets = 4096, kWays = 4;  // minutes of objects at some hundred txns a second
+  static constexpr std::size_t kSets = 1024, kWays = 4;  // minutes of objects at some tens of txns a second
   std::vector<Entry> table_ = std::vector<Entry>(kSets * kWays);
 };
 
