--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -694,7 +694,7 @@
       const double sure = t.kbytes > 0 || x.busy >= 0 ? 1 : 0.8;
       const double late = took > r.sla_time + r.sla_stretch * work ? sure : 0;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
-      if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.8 : x.hops.used < 3);
+      if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
       if (!was_hit) link.answered(late, now);
       if (other_source && !was_hit) {
