--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -71,8 +71,8 @@
   static constexpr double kTooMany = 0.15;  // late; sizes vary: a tenth looks late on a good day
   double cap = 16, used = 0, late = 0, least = 4;
   Sec cut_at = -kNever;
-  // Each of many routers starts with its part of a small machine's work, at least three hops: fewer, and
-  // objects leave their member too often; and is cut to no less than one.
+  // Each of many routers starts with its part of a small machine's work: three hops at least, or objects
+  // move.
   void share(int routers) {
     cap = std::clamp(32.0 / routers, 3.0, cap);
     least = std::clamp(8.0 / routers, 1.0, least);
@@ -367,7 +367,10 @@
     const double routers = par ? place.routers : place.seats;
     // At least its part of one transfer: less than any machine's size.
     const double part = weights_tell ? x.weight / routers : std::max(1 / routers, warm[par].rate);
-    return kMargin * rule_of(x).multiple * rule_of(x).share(now - x.started) * part;
+    const auto& r = rule_of(x);
+    const double warmed = std::clamp((now - x.started) / std::max(r.warm_after, 1e-9), 0.0, 1.0);
+    const double certain = r.from + (1 - r.from) * warmed;  // share of its capacity
+    return kMargin * r.multiple * certain * part;
   }
   // Hops count at their rule's mean, fills at a parent at their own work.
   bool cold_room(const Member& x, double work) const {
--- a/src/brain.h
+++ b/src/brain.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace walkpaddle {
@@ -72,7 +71,7 @@
 };
 struct Hopping {
   int most = 1;
-  bool second_copies = false, can_call_off = false, can_probe = false;
+  bool can_call_off = false;
 };
 struct Filling {
   Siblings siblings = Siblings::none;
@@ -83,9 +82,6 @@
 struct ColdStart {
   double from = 1, multiple = 1;
   Sec warm_after = 0, window = 1;
-  double share(Sec age) const {  // of the full capacity, at least
-    return age >= warm_after ? 1 : from + (1 - from) * (age > 0 ? age : 0) / warm_after;
-  }
 };
 struct Clients {
   bool mark_repeats = false;
@@ -93,7 +89,7 @@
 };
 
 struct Decision {
-  enum class Kind { look, deliver, reject, abort, call_off, probe, wake, remark, subscribe };
+  enum class Kind { deliver, reject, abort, call_off, wake, subscribe };
   Kind kind = Kind::wake;
   int txn = -1;
   int member = -1;
@@ -104,9 +100,6 @@
   Sec age = 0;             // deliver: the oldest copy that will do, 0 for the rule's fresh time
   bool join = false;       // wait for a fill under way
   bool held_only = false;  // the source gives only what it holds
-  bool no_par_copy = false;
-  bool renew = false;  // serve an ageing copy and fetch it anew behind
-  std::string text{};
 };
 
 class Brain {
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -260,8 +260,7 @@
     const auto rules = static_cast<std::size_t>(s.number("categories.count"));
     for (std::size_t n = 0; n < rules; ++n) b.add_rule(rule_of(s, n));
     in.rules = static_cast<int>(rules);
-    b.set_hopping({s.whole("allowed.max_attempts", 1), s.flag("allowed.second_copies"),
-                   s.flag("allowed.cancel"), s.flag("allowed.probes")});
+    b.set_hopping({s.whole("allowed.max_attempts", 1), s.flag("allowed.cancel")});
     b.set_filling(
         {choose(s.text("specifics.peers_fill"), {{"location", Siblings::location}, {"any", Siblings::any}},
                 Siblings::none),
@@ -398,18 +397,16 @@
     out_ += in.members[who];
   };
   switch (d.kind) {
-    case Kind::look:
     case Kind::deliver: {
-      head(d.kind == Kind::look ? "TRY" : "DELIVER_VIA");
+      head("DELIVER_VIA");
       whole(in.txns[d.txn].id);
       ++in.txns[d.txn].out;
       server(d.member);
       put_ms(d.time);
-      if (d.kind == Kind::look) break;
       server(d.source);
       whole(d.rank);
       put_ms(d.age);
-      whole((d.join ? 1 : 0) + (d.held_only ? 2 : 0) + (d.no_par_copy ? 4 : 0) + (d.renew ? 8 : 0));
+      whole((d.join ? 1 : 0) + (d.held_only ? 2 : 0));
       break;
     }
     case Kind::reject:
@@ -425,10 +422,6 @@
       whole(in.txns[d.txn].id);
       whole(d.hop);
       break;
-    case Kind::probe:
-      head("HEALTH_CHECK");
-      server(d.member);
-      break;
     case Kind::wake:
       head("AFTER");
       put_ms(d.time);
@@ -438,11 +431,6 @@
       head("SUBSCRIBE");
       whole(1);
       break;
-    case Kind::remark:
-      head("REMARK");
-      out_ += ' ';
-      out_ += d.text;
-      break;
   }
   out_ += '\n';
 }
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -74,7 +74,7 @@
       }
       std::printf("%8.3f ", now - 1000);
       const auto* txn = d->txn < 0 ? "" : txns[d->txn].c_str();
-      if (d->kind == Kind::deliver || d->kind == Kind::look) {
+      if (d->kind == Kind::deliver) {
         std::printf("%s to %s from %s rank %d", txn, members[d->member].c_str(), members[d->source].c_str(),
                     d->rank);
         if (d->age > 0) std::printf(" age %.3f", d->age);
@@ -88,7 +88,7 @@
       } else if (d->kind == Kind::abort) {
         std::printf("%s aborted", txn);
       } else {
-        std::printf("%s", d->kind == Kind::probe ? ("probe " + members[d->member]).c_str() : d->text.c_str());
+        std::printf("subscribe");
       }
       std::printf("\n");
     }
@@ -110,8 +110,7 @@
     } else if (what == "setup") {
       brain.set_place({0, static_cast<int>(l.num("seats", 1)), static_cast<int>(l.num("routers", 2))});
       brain.set_roles({8, 9, l.num("direct", 1) > 0});
-      brain.set_hopping(
-          {static_cast<int>(l.num("hops", 6)), l.num("second") > 0, l.num("calloff", 1) > 0, false});
+      brain.set_hopping({static_cast<int>(l.num("hops", 6)), l.num("calloff", 1) > 0});
       brain.set_filling({static_cast<Siblings>(l.pick("siblings", {"none", "location", "any"})),
                          l.num("join", 1) > 0, l.num("notes", 1) > 0 ? Notes::all : Notes::none, 1000});
       brain.set_cold({0.2, l.num("multiple", 2), 16, 2}, {0.08, 2, 20, 2});
