--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -164,9 +164,7 @@
   }
   void set_hopping(const Hopping& h) override { hopping = h; }
   void set_filling(const Filling& f) override { filling = f; }
-  void set_cold(const ColdStart& caches, const ColdStart& pars) override {
-    cold_cache = caches, cold_par = pars;
-  }
+  void set_cold(const ColdStart& c, const ColdStart& p) override { cold_cache = c, cold_par = p; }
   void set_weights(bool tell_transfers) override { weights_tell = tell_transfers; }
   void set_purges(Sec purge_settles) override { settles = purge_settles; }
   void set_clients(const Clients& c) override { clients = c; }
