--- /dev/null
+++ b/src/net/caches.cpp
@@ -0,0 +1,291 @@
+#include "net/caches.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cmath>
+#include <cstring>
+
+#include "net/resp.h"
+#include "text.h"
+
+namespace walkpaddle::net {
+
+struct Connection {
+  Connection(Scheduler& scheduler, Outbox& outbox, Fd fd) : stream(scheduler, outbox, std::move(fd)) {}
+  Stream stream;
+  bool up = false;
+  bool silent = false;  // a hop timed out with nothing heard since it was written: no new ones
+  std::unordered_map<std::uint64_t, Hop*> open;  // null: given up, an answer may still cross
+  std::size_t live = 0;                          // those not given up
+  Sec heard = 0, used = 0;
+};
+
+struct Caches::Peer {
+  std::string id;
+  Address address;
+  Listed state = Listed::gone;
+  std::list<Connection*> connections;  // they live in their tasks
+  std::size_t dialing = 0;
+  std::deque<Hop*> waiting;
+};
+
+Hop::Hop(Scheduler& scheduler, Caches& caches, What what)
+    : scheduler_(scheduler), caches_(caches), what_(std::move(what)), event_(scheduler), started_(scheduler.now()) {
+  caches_.start(*this);
+}
+
+Hop::~Hop() { caches_.give_up(*this); }
+
+void Hop::finish(Verdict verdict) {
+  state_ = State::ended;
+  over_ = nullptr;
+  end_.verdict = verdict;
+  event_.set();
+}
+
+Event::Awaiter Hop::wait() {
+  const Sec until =
+      state_ == State::waiting ? std::min(what_.until, started_ + caches_.dial_within_) : what_.until;
+  return event_.wait(until);
+}
+
+void Hop::time_came() {
+  if (ended()) return;
+  const Sec now = scheduler_.now();
+  if (state_ == State::waiting) {
+    const bool dialled = now >= started_ + caches_.dial_within_;
+    if (!dialled && now < what_.until) return;
+    caches_.give_up(*this);
+    return finish(dialled ? Verdict::no_connection : Verdict::not_sent);
+  }
+  if (now < what_.until) return;
+  if (over_->heard < written_at_) over_->silent = true;
+  caches_.give_up(*this);
+  finish(Verdict::timed_out);
+}
+
+void Hop::call_off() {
+  if (ended()) return;
+  const bool written = state_ == State::written;
+  caches_.give_up(*this);
+  finish(written ? Verdict::called_off : Verdict::not_sent);
+}
+
+Caches::Caches(Scheduler& scheduler, Outbox& outbox, Log& log, int hops_a_connection, Sec dial_within,
+               Sec closed_when_idle, bool cancels)
+    : scheduler_(scheduler),
+      outbox_(outbox),
+      log_(log),
+      hops_a_connection_(std::max(1, hops_a_connection)),
+      dial_within_(dial_within),
+      idle_(closed_when_idle * 0.6),  // well before the other side, so that no hop crosses its close
+      cancels_(cancels) {}
+
+Caches::~Caches() = default;
+
+int Caches::member(std::string_view id) {
+  const auto [it, fresh] = index_.try_emplace(std::string(id), static_cast<int>(peers_.size()));
+  if (fresh) {
+    peers_.push_back(std::make_unique<Peer>());
+    peers_.back()->id = id;
+  }
+  return it->second;
+}
+
+std::string_view Caches::id(int member) const { return peer(member).id; }
+
+template <class F>
+void Caches::drop_unsent(F&& concerned) {
+  for (auto& p : peers_)
+    for (auto* hop : std::vector(p->waiting.begin(), p->waiting.end()))
+      if (concerned(*hop)) hop->call_off();
+}
+
+void Caches::told(int member, const Address& address, Listed state) {
+  auto& p = peer(member);
+  if (p.address != address)  // what runs goes on; new hops use new connections
+    for (auto* c : p.connections) c->silent = true;
+  p.address = address;
+  p.state = state;
+  if (state != Listed::ready)
+    drop_unsent([&](const Hop& h) { return h.what_.member == member || h.what_.source == member; });
+}
+
+void Caches::purged(std::uint64_t object) {
+  drop_unsent([&](const Hop& h) { return h.what_.object == object; });
+}
+
+void Caches::purged_group(std::uint32_t group) {
+  drop_unsent([&](const Hop& h) { return h.what_.group == group; });
+}
+
+void Caches::start(Hop& hop) {
+  auto& p = peer(hop.what_.member);
+  p.waiting.push_back(&hop);
+  place(p);
+  if (!hop.ended() && hop.state_ == Hop::State::waiting) dial_for(hop.what_.member);
+}
+
+// Gives waiting hops to the connections that have room; the first with room, so that few are kept.
+void Caches::place(Peer& p) {
+  for (auto it = p.waiting.begin(); it != p.waiting.end();) {
+    auto* hop = *it;
+    const auto free = std::ranges::find_if(p.connections, [&](const Connection* c) {
+      return c->up && !c->silent && c->live < hops_a_connection_ && !c->open.contains(hop->what_.id);
+    });
+    if (free == p.connections.end()) {
+      ++it;
+      continue;
+    }
+    it = p.waiting.erase(it);
+    write(*hop, **free);
+  }
+}
+
+void Caches::write(Hop& hop, Connection& c) {
+  const Sec now = scheduler_.now();
+  const auto& w = hop.what_;
+  // Down to whole milliseconds: never longer than the txn has.
+  const auto limit = std::max(1L, static_cast<long>(std::floor((w.until - now) * 1e3)));
+  c.stream.write(words_text({"serve", w.id_text, w.fields + ",limit=" + std::to_string(limit), w.body}));
+  c.open[w.id] = &hop;
+  ++c.live;
+  c.used = now;
+  hop.over_ = &c;
+  hop.state_ = Hop::State::written;
+  hop.written_at_ = now;
+  hop.last_byte_ = c.stream.written();
+}
+
+void Caches::give_up(Hop& hop) {
+  if (hop.state_ == Hop::State::waiting) std::erase(peer(hop.what_.member).waiting, &hop);
+  if (hop.state_ != Hop::State::written || hop.over_ == nullptr) return;
+  auto& c = *hop.over_;
+  c.open[hop.what_.id] = nullptr;
+  --c.live;
+  hop.over_ = nullptr;
+  if (cancels_) c.stream.write(words_text({"cancel", hop.what_.id_text}));
+  if (c.silent && c.live == 0) c.stream.close();
+}
+
+// As many connections on their way as the waiting hops fill.
+void Caches::dial_for(int member) {
+  auto& p = peer(member);
+  const auto wanted = (p.waiting.size() + hops_a_connection_ - 1) / hops_a_connection_;
+  while (p.dialing < wanted && !p.waiting.empty()) scheduler_.start(connection(member));
+}
+
+void Caches::dial_failed(Peer& p, std::string_view why) {
+  log_("connect", "{} at {}: {}", p.id, text_of(p.address), why);
+  if (p.dialing > 0 || std::ranges::any_of(p.connections, [](auto* c) { return c->up && !c->silent; })) return;
+  for (auto* hop : std::exchange(p.waiting, {})) hop->finish(Verdict::no_connection);
+}
+
+Task Caches::connection(int member) {
+  auto& p = peer(member);
+  Fd fd = dial(p.address);
+  if (!fd) {
+    dial_failed(p, std::strerror(errno));
+    co_return;
+  }
+  Connection c(scheduler_, outbox_, std::move(fd));
+  struct Place {
+    Peer& peer;
+    std::list<Connection*>::iterator at;
+    ~Place() { peer.connections.erase(at); }
+  } place_in_list{p, p.connections.insert(p.connections.end(), &c)};
+  ++p.dialing;
+  const bool in_time = co_await c.stream.writable(scheduler_.now() + dial_within_);
+  --p.dialing;
+  if (const int error = c.stream.error(); !in_time || error != 0) {
+    dial_failed(p, in_time ? std::strerror(error) : "not up in time");
+    co_return;
+  }
+  c.up = true;
+  c.heard = c.used = scheduler_.now();
+  place(p);
+  std::string_view why = "closed by the other side";
+  for (;;) {
+    const auto came = c.stream.read();
+    if (came == Stream::Came::end) break;
+    if (came == Stream::Came::bytes) {
+      c.heard = scheduler_.now();
+      if (!take_answers(c)) {
+        why = "an answer that cannot be read";
+        break;
+      }
+      place(p);
+      continue;
+    }
+    if (co_await c.stream.readable(c.live > 0 ? kNoTime : std::max(c.used + idle_, scheduler_.now() + 0.1)))
+      continue;
+    if (c.live == 0 && scheduler_.now() >= c.used + idle_) {
+      why = "";
+      break;
+    }
+  }
+  c.up = false;
+  if (!why.empty() && c.live > 0) log_("connection", "{}: {}, {} hops out", p.id, why, c.live);
+  for (auto& [id, hop] : std::exchange(c.open, {}))
+    if (hop != nullptr)
+      hop->finish(c.stream.handed() >= hop->last_byte_ ? Verdict::broken : Verdict::no_connection);
+  if (!p.waiting.empty()) dial_for(member);
+}
+
+bool Caches::take_answers(Connection& c) {
+  constexpr std::size_t kMostWords = 8, kMostBytes = 1 << 20;  // an object has at most 240,000 bytes
+  Words answer_words;
+  try {
+    for (;;) {
+      read_words(c.stream.in(), kMostWords, kMostBytes, answer_words);
+      if (answer_words.used == 0) return true;
+      answer(c, answer_words.words);
+      c.stream.consume(answer_words.used);
+    }
+  } catch (const Malformed& e) {
+    log_("answer", "{}", e.what());
+    return false;
+  }
+}
+
+void Caches::answer(Connection& c, const std::vector<std::string_view>& words) {
+  if (words.size() < 2) bad("answer", "");
+  const auto id = parse<std::uint64_t>(words[0], "id", 16);
+  const auto verdict = choose<int>(words[1],
+                                   {{"served", static_cast<int>(Verdict::completed)},
+                                    {"still_good", static_cast<int>(Verdict::completed)},
+                                    {"not_here", static_cast<int>(Verdict::lacking)},
+                                    {"overload", static_cast<int>(Verdict::not_taken)},
+                                    {"crashed", static_cast<int>(Verdict::error)},
+                                    {"nobody", static_cast<int>(Verdict::not_sent)}},
+                                   -1);
+  if (verdict < 0) bad("answer", words[1]);
+  const auto fields = words.size() > 2 ? words[2] : std::string_view();
+  const auto note = choose<Note>(field(fields, "tell").value_or(""),
+                                 {{"mem", Note::hit},
+                                  {"parent", Note::filled},
+                                  {"origin", Note::by_origin},
+                                  {"shared", Note::joined},
+                                  {"old", Note::old_copy},
+                                  {"denied", Note::source_refused},
+                                  {"unreached", Note::source_unreached},
+                                  {"absent", Note::source_lacks},
+                                  {"crowded", Note::no_fill_place},
+                                  {"behind", Note::origin_failed}},
+                                 Note::none);
+  const auto it = c.open.find(id);
+  if (it == c.open.end()) return;
+  auto* hop = it->second;
+  c.open.erase(it);
+  c.used = scheduler_.now();
+  if (hop == nullptr) return;
+  --c.live;
+  auto& end = hop->end_;
+  end.note = note;
+  end.still_good = words[1] == "still_good";
+  end.etag = field(fields, "etag").value_or("");
+  if (words.size() > 3) end.body = words[3];
+  hop->finish(static_cast<Verdict>(verdict));
+}
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/caches.h
@@ -0,0 +1,107 @@
+// The connections to cache servers, parents and the origin, and the hops that go over them.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "brain.h"
+#include "net/log.h"
+#include "net/scheduler.h"
+#include "net/stream.h"
+
+namespace walkpaddle::net {
+
+class Caches;
+
+// How a hop ended, as the module is told it, with what goes on to the client.
+struct HopEnd {
+  Verdict verdict = Verdict::not_sent;
+  Note note = Note::none;
+  bool still_good = false;
+  std::string etag, body;
+};
+
+// One hop; lives in its txn's task. Dropped while it is out, it is given up at the cache server too.
+class Hop {
+ public:
+  struct What {
+    int member = -1, source = -1;
+    std::uint64_t id = 0, object = 0;
+    std::uint32_t group = 0;
+    std::string_view id_text, body;  // as the client sent them
+    std::string fields;              // all but the limit, which is known only when it is written
+    Sec until = 0;                   // its time-out, on the clock
+  };
+  Hop(Scheduler& scheduler, Caches& caches, What what);
+  Hop(const Hop&) = delete;
+  Hop& operator=(const Hop&) = delete;
+  ~Hop();
+
+  bool ended() const { return state_ == State::ended; }
+  Event::Awaiter wait();  // until it has ended or time_came() is to be called
+  void time_came();
+  void call_off();
+  HopEnd& end() { return end_; }
+  Sec started() const { return started_; }
+
+ private:
+  friend class Caches;
+  enum class State { waiting, written, ended };
+  void finish(Verdict verdict);
+
+  Scheduler& scheduler_;
+  Caches& caches_;
+  What what_;
+  Event event_;
+  State state_ = State::waiting;
+  struct Connection* over_ = nullptr;
+  Sec started_, written_at_ = 0;
+  std::uint64_t last_byte_ = 0;  // its place in the connection's bytes
+  HopEnd end_;
+};
+
+class Caches {
+ public:
+  Caches(Scheduler& scheduler, Outbox& outbox, Log& log, int hops_a_connection, Sec dial_within,
+         Sec closed_when_idle, bool cancels);
+  ~Caches();
+
+  int member(std::string_view id);  // its index, given at first sight
+  std::string_view id(int member) const;
+  void told(int member, const Address& address, Listed state);
+  void purged(std::uint64_t object);
+  void purged_group(std::uint32_t group);
+
+ private:
+  friend class Hop;
+  struct Peer;
+  Peer& peer(int member) const { return *peers_[member]; }
+  void start(Hop& hop);
+  void give_up(Hop& hop);
+  void write(Hop& hop, Connection& over);
+  void place(Peer& at);
+  void dial_for(int member);
+  Task connection(int member);
+  bool take_answers(Connection& c);
+  void answer(Connection& c, const std::vector<std::string_view>& words);
+  void dial_failed(Peer& at, std::string_view why);
+  template <class F>
+  void drop_unsent(F&& concerned);
+
+  Scheduler& scheduler_;
+  Outbox& outbox_;
+  Log& log_;
+  const std::size_t hops_a_connection_;
+  const Sec dial_within_, idle_;
+  const bool cancels_;
+  std::vector<std::unique_ptr<Peer>> peers_;
+  std::unordered_map<std::string, int> index_;
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,158 @@
+#include "net/clients.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+#include "net/resp.h"
+#include "text.h"
+
+namespace walkpaddle::net {
+
+void Client::answer(const std::string& tag, std::string_view word, std::string_view fields,
+                    std::string_view body) {
+  if (!body.empty())
+    stream_.write(words_text({tag, word, fields, body}));
+  else if (!fields.empty())
+    stream_.write(words_text({tag, word, fields}));
+  else
+    stream_.write(words_text({tag, word}));
+}
+
+Clients::Listener::Listener(Scheduler& s, Fd f) : scheduler(s), fd(std::move(f)), came(s) {
+  scheduler.watch(fd.get(), *this);
+}
+
+Clients::Listener::~Listener() { scheduler.forget(fd.get(), *this); }
+
+Clients::Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen,
+                 std::vector<std::string> rule_names, Serve serve)
+    : scheduler_(scheduler),
+      outbox_(outbox),
+      log_(log),
+      rule_names_(std::move(rule_names)),
+      serve_(std::move(serve)),
+      alive_("UNREADY"),
+      listener_(std::make_unique<Listener>(scheduler, listen_on(listen))) {
+  scheduler_.start(accept_all());
+}
+
+Task Clients::accept_all() {
+  constexpr Sec kPause = 0.1;  // without descriptors left: until some connections may have closed
+  for (;;) {
+    Fd fd(::accept4(listener_->fd.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (fd) {
+      auto client = std::make_shared<Client>(scheduler_, outbox_, std::move(fd));
+      clients_[client.get()] = client;
+      scheduler_.start(connection(std::move(client)));
+      continue;
+    }
+    const int why = errno;
+    if (why == EINTR || why == ECONNABORTED) continue;
+    if (why != EAGAIN) {
+      log_("accept", "{}, {} clients connected", std::strerror(why), clients_.size());
+      co_await listener_->came.wait(scheduler_.now() + kPause);
+      continue;
+    }
+    co_await listener_->came.wait();
+  }
+}
+
+Task Clients::connection(std::shared_ptr<Client> client) {
+  constexpr std::size_t kUnread = 1 << 20;  // a few of the largest answers; then nothing more is asked of us
+  auto& stream = client->stream_;
+  struct Place {
+    Clients& clients;
+    Client* client;
+    ~Place() { clients.clients_.erase(client); }
+  } place{*this, client.get()};
+  for (;;) {
+    const auto came = stream.read();
+    if (came == Stream::Came::end || (came == Stream::Came::bytes && !take_requests(client))) break;
+    while (!stream.broken() && stream.unsent() > kUnread) co_await stream.writable(scheduler_.now() + 0.1);
+    if (came == Stream::Came::nothing) co_await stream.readable();
+  }
+  stream.close();
+  for (const auto& [tag, seat] : std::exchange(client->open_, {})) seat->leave();
+}
+
+bool Clients::take_requests(const std::shared_ptr<Client>& client) {
+  constexpr std::size_t kMostWords = 8, kMostBytes = 256 * 1024;  // a write brings up to 48,000 bytes
+  Words words;
+  try {
+    for (;;) {
+      read_words(client->stream_.in(), kMostWords, kMostBytes, words);
+      if (words.used == 0) return true;
+      request(client, words.words);
+      client->stream_.consume(words.used);
+    }
+  } catch (const Malformed& e) {
+    log_("client", "connection closed: {}", e.what());
+    return false;
+  }
+}
+
+void Clients::request(const std::shared_ptr<Client>& client, const std::vector<std::string_view>& words) {
+  constexpr std::size_t kMostOpen = 32;
+  if (words.size() < 2) bad("request", "");
+  const auto verb = words[0];
+  const std::string tag(words[1]);
+  parse<std::uint64_t>(tag, "tag");
+  if (verb == "ALIVE") return client->answer(tag, alive_);
+  if (verb == "FORGET") {
+    const auto it = client->open_.find(tag);
+    if (it == client->open_.end()) return;
+    auto* seat = it->second;
+    client->open_.erase(it);
+    return seat->leave();
+  }
+  if (verb != "EXEC") bad("request", verb);
+  if (client->open_.contains(tag)) bad("tag, open already", tag);
+  if (client->open_.size() >= kMostOpen) bad("number of open requests", tag);
+  Order order;
+  try {
+    order = order_of(words);
+  } catch (const Malformed& e) {
+    log_("request", "{}", e.what());
+    return client->answer(tag, "ABORTED");
+  }
+  serve_(client, std::move(order));
+}
+
+Order Clients::order_of(const std::vector<std::string_view>& words) const {
+  if (words.size() < 4 || words.size() > 5) bad("number of words", std::to_string(words.size()));
+  Order o;
+  o.tag = words[1];
+  o.rule_name = words[2];
+  const auto rule = std::ranges::find(rule_names_, words[2]);
+  if (rule == rule_names_.end()) bad("class", words[2]);
+  o.rule = static_cast<int>(rule - rule_names_.begin());
+  const auto fields = words[3];
+  const auto needed = [&](std::string_view name) {
+    const auto value = field(fields, name);
+    if (!value) bad("request without", name);
+    return *value;
+  };
+  o.id_text = needed("txn");
+  o.id = parse<std::uint64_t>(o.id_text, "txn", 16);
+  o.expires = scheduler_.now() + parse<double>(needed("limit"), "limit") / 1e3;
+  o.object_text = needed("item");
+  o.part_text = field(fields, "seg").value_or("0");
+  o.part = parse<int>(o.part_text, "seg");
+  o.group = parse<std::uint32_t>(field(fields, "bucket").value_or("0"), "bucket");
+  o.key = field(fields, "unique").value_or("");
+  o.etag = field(fields, "etag").value_or("");
+  if (words.size() > 4) o.body = words[4];
+  return o;
+}
+
+void Clients::stop_accepting() { listener_.reset(); }
+
+void Clients::close_idle() {
+  for (const auto& [client, held] : clients_)
+    if (client->open_.empty() && client->stream_.unsent() == 0) client->stream_.end_writing();
+}
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/clients.h
@@ -0,0 +1,80 @@
+// The clients' side: connections, what they ask, and the answers.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "net/desk.h"
+#include "net/log.h"
+#include "net/scheduler.h"
+#include "net/stream.h"
+
+namespace walkpaddle::net {
+
+// What a client asked: what goes on unchanged as the bytes that came, the rest taken out.
+struct Order {
+  std::string tag, id_text, object_text, part_text, key, etag, body, rule_name;
+  std::uint64_t id = 0;
+  int rule = 0, part = 0;
+  std::uint32_t group = 0;
+  Sec expires = 0;
+};
+
+// One connection. Its txns hold it until they are answered.
+class Client {
+ public:
+  Client(Scheduler& scheduler, Outbox& outbox, Fd fd) : stream_(scheduler, outbox, std::move(fd)) {}
+  void answer(const std::string& tag, std::string_view word, std::string_view fields = {},
+              std::string_view body = {});
+  void opened(const std::string& tag, Seat& seat) { open_.emplace(tag, &seat); }
+  void over(const std::string& tag) { open_.erase(tag); }
+
+ private:
+  friend class Clients;
+  Stream stream_;
+  std::unordered_map<std::string, Seat*> open_;
+};
+
+class Clients {
+ public:
+  using Serve = std::function<void(std::shared_ptr<Client>, Order)>;
+  Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen,
+          std::vector<std::string> rule_names, Serve serve);
+
+  void set_word(std::string_view alive) { alive_ = alive; }  // what ALIVE is answered with
+  void stop_accepting();
+  void close_idle();
+  std::size_t count() const { return clients_.size(); }
+
+ private:
+  Task accept_all();
+  Task connection(std::shared_ptr<Client> client);
+  bool take_requests(const std::shared_ptr<Client>& client);
+  void request(const std::shared_ptr<Client>& client, const std::vector<std::string_view>& words);
+  Order order_of(const std::vector<std::string_view>& words) const;
+
+  struct Listener final : Scheduler::Watcher {
+    Listener(Scheduler& scheduler, Fd fd);
+    ~Listener();
+    void on_ready(std::uint32_t) override { came.set(); }
+    Scheduler& scheduler;
+    Fd fd;
+    Event came;
+  };
+
+  Scheduler& scheduler_;
+  Outbox& outbox_;
+  Log& log_;
+  std::vector<std::string> rule_names_;
+  Serve serve_;
+  std::string alive_;
+  std::unique_ptr<Listener> listener_;
+  std::unordered_map<Client*, std::weak_ptr<Client>> clients_;
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,32 @@
+// The configuration file that LB_CONFIG names.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "net/frames.h"
+#include "net/stream.h"
+#include "settings.h"
+
+namespace walkpaddle::net {
+
+struct Config {
+  std::string name;
+  Address listen, bus;
+  bool has_bus = false;
+  std::uint64_t seed = 0;
+  int sockets = 1024;
+  double memory_mb = 192;
+  Settings settings;
+  std::string known;  // JSON, for hand_known
+};
+
+Config parse_config(const std::string& text);  // Malformed names what is missing or wrong
+
+// The events that were known at the start, in order; gives the number of the last.
+std::uint64_t hand_known(const std::string& known, const Settings& settings, ListEvents& events);
+
+std::vector<std::string> rule_names(const Settings& settings);
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/desk.cpp
@@ -0,0 +1,79 @@
+#include "net/desk.h"
+
+namespace walkpaddle::net {
+
+Seat::Seat(Desk& desk, int rule, std::uint64_t object, int part, std::uint32_t group, Sec expires)
+    : desk_(desk), event_(desk.scheduler_) {
+  if (desk_.free_.empty()) {
+    slot_ = static_cast<int>(desk_.seats_.size());
+    desk_.seats_.push_back(this);
+  } else {
+    slot_ = desk_.free_.back();
+    desk_.free_.pop_back();
+    desk_.seats_[slot_] = this;
+  }
+  desk_.input().txn_taken(slot_, rule, object, part, group, 0, expires, false);
+}
+
+Seat::~Seat() {
+  if (out_) hop_ended(Verdict::not_sent, Note::none, 0, true);
+  desk_.seats_[slot_] = nullptr;
+  desk_.free_.push_back(slot_);
+}
+
+void Seat::hop_ended(Verdict verdict, Note note, Sec took, bool txn_over) {
+  hop_ = nullptr;
+  out_ = false;
+  desk_.input().hop_ended(slot_, hops_ - 1, verdict, note, took, txn_over);
+}
+
+void Seat::leave() {
+  if (std::exchange(left_, true)) return;
+  desk_.input().txn_left(slot_);
+  if (hop_ != nullptr) hop_->call_off();
+  event_.set();
+}
+
+Desk::Desk(Scheduler& scheduler, std::uint32_t seed, const Settings& settings)
+    : scheduler_(scheduler), brain_(make_brain(seed)), wake_(scheduler) {
+  hand_over(settings, input());
+  scheduler_.at_turns_end([this] { pull(); });
+  scheduler_.start(keep_time());
+}
+
+Brain& Desk::input() {
+  brain_->clock(scheduler_.now());
+  return *brain_;
+}
+
+Task Desk::keep_time() {
+  for (;;) {
+    if (co_await wake_.wait(wake_at_)) continue;  // another time was asked for
+    wake_at_ = kNoTime;
+    input().woken();
+  }
+}
+
+void Desk::pull() {
+  input();
+  while (const auto d = brain_->next()) {
+    using Kind = Decision::Kind;
+    if (d->kind == Kind::wake) {
+      if (d->time >= wake_at_) continue;
+      wake_at_ = d->time;
+      wake_.set();
+      continue;
+    }
+    auto* seat = d->txn >= 0 ? seats_[d->txn] : nullptr;
+    if (seat == nullptr) continue;  // subscribe: the bus tells of itself
+    if (d->kind == Kind::call_off) {
+      if (seat->hop_ != nullptr && d->hop == seat->hops_ - 1) seat->hop_->call_off();
+      continue;
+    }
+    if (d->kind == Kind::deliver) seat->out_ = true, ++seat->hops_;
+    seat->decision_ = d;
+    seat->event_.set();
+  }
+}
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/desk.h
@@ -0,0 +1,63 @@
+// The desk holds the module: inputs go in, decisions come out at the turn's end and go to each txn's task.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "brain.h"
+#include "net/caches.h"
+#include "net/scheduler.h"
+#include "settings.h"
+
+namespace walkpaddle::net {
+
+class Desk;
+
+// A txn's place at the desk, held by its task: the module knows the txn from its making on.
+class Seat {
+ public:
+  Seat(Desk& desk, int rule, std::uint64_t object, int part, std::uint32_t group, Sec expires);
+  Seat(const Seat&) = delete;
+  Seat& operator=(const Seat&) = delete;
+  ~Seat();
+
+  Event::Awaiter woken() { return event_.wait(); }
+  std::optional<Decision> decision() { return std::exchange(decision_, std::nullopt); }
+  void hop_out(Hop* hop) { hop_ = hop; }
+  void hop_ended(Verdict verdict, Note note, Sec took, bool txn_over);
+  void leave();  // the client waits no more
+  bool left() const { return left_; }
+
+ private:
+  friend class Desk;
+  Desk& desk_;
+  int slot_;
+  Event event_;
+  std::optional<Decision> decision_;
+  Hop* hop_ = nullptr;
+  int hops_ = 0;
+  bool left_ = false, out_ = false;
+};
+
+class Desk {
+ public:
+  Desk(Scheduler& scheduler, std::uint32_t seed, const Settings& settings);
+
+  Brain& input();  // the module, with the clock set
+  std::size_t txns_open() const { return seats_.size() - free_.size(); }
+
+ private:
+  friend class Seat;
+  void pull();
+  Task keep_time();
+
+  Scheduler& scheduler_;
+  std::unique_ptr<Brain> brain_;
+  std::vector<Seat*> seats_;
+  std::vector<int> free_;
+  Event wake_;
+  Sec wake_at_ = kNoTime;
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/fd.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <unistd.h>
+
+#include <utility>
+
+namespace walkpaddle::net {
+
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~Fd() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_ = -1;
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/list.h
@@ -0,0 +1,40 @@
+// The event bus: the list of members and the purges, first as known at the start, then as they come.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "net/caches.h"
+#include "net/desk.h"
+#include "net/frames.h"
+#include "net/log.h"
+
+namespace walkpaddle::net {
+
+class List final : public ListEvents {
+ public:
+  List(Scheduler& scheduler, Outbox& outbox, Log& log, Desk& desk, Caches& caches)
+      : scheduler_(scheduler), outbox_(outbox), log_(log), desk_(desk), caches_(caches) {}
+
+  void follow(const Address& bus, std::uint64_t last);
+
+  void list_begin(bool whole) override;
+  void list_member(std::string_view id, const Address& address, int location, int kind, int cell, Listed state,
+                   double weight, Sec started) override;
+  void list_end() override;
+  void purged(std::string_view object, Sec at) override;
+  void purged_group(std::uint32_t group, Sec at) override;
+
+ private:
+  Task follow_all(Address bus);
+  bool take_frames(Stream& stream);
+
+  Scheduler& scheduler_;
+  Outbox& outbox_;
+  Log& log_;
+  Desk& desk_;
+  Caches& caches_;
+  std::uint64_t last_ = 0;
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/resp.cpp
@@ -0,0 +1,72 @@
+#include "net/resp.h"
+
+#include "text.h"
+
+namespace walkpaddle::net {
+
+namespace {
+
+// The number of a "*12\r\n" or "$12\r\n" line at the front, which it takes off; false while it is not whole.
+bool take_length(std::string_view& rest, char mark, std::size_t most, std::size_t& length) {
+  constexpr std::size_t kLongest = 12;  // mark, nine digits, line end
+  if (rest.empty()) return false;
+  if (rest.front() != mark) bad("array", rest.substr(0, 1));
+  const auto end = rest.substr(0, kLongest).find("\r\n");
+  if (end == std::string_view::npos) {
+    if (rest.size() >= kLongest) bad("length", rest.substr(0, kLongest));
+    return false;
+  }
+  length = parse<std::size_t>(rest.substr(1, end - 1), "length");
+  if (length > most) bad("length", rest.substr(1, end - 1));
+  rest.remove_prefix(end + 2);
+  return true;
+}
+
+}  // namespace
+
+void read_words(std::string_view bytes, std::size_t most_words, std::size_t most_bytes, Words& into) {
+  into.words.clear();
+  into.used = 0;
+  auto rest = bytes;
+  std::size_t count = 0;
+  if (!take_length(rest, '*', most_words, count)) return;
+  for (std::size_t n = 0; n < count; ++n) {
+    std::size_t length = 0;
+    if (!take_length(rest, '$', most_bytes, length)) return;
+    if (rest.size() < length + 2) return;
+    if (rest.substr(length, 2) != "\r\n") bad("end of word", rest.substr(length, 2));
+    into.words.push_back(rest.substr(0, length));
+    rest.remove_prefix(length + 2);
+  }
+  into.used = bytes.size() - rest.size();
+}
+
+std::string words_text(std::initializer_list<std::string_view> words) {
+  std::size_t size = 16;
+  for (const auto word : words) size += word.size() + 16;
+  std::string text;
+  text.reserve(size);
+  text += '*';
+  text += std::to_string(words.size());
+  text += "\r\n";
+  for (const auto word : words) {
+    text += '$';
+    text += std::to_string(word.size());
+    text += "\r\n";
+    text += word;
+    text += "\r\n";
+  }
+  return text;
+}
+
+std::optional<std::string_view> field(std::string_view fields, std::string_view name) {
+  if (fields == "-") return std::nullopt;
+  while (!fields.empty()) {
+    auto value = cut(fields, ',');
+    if (value.find('=') == std::string_view::npos) bad("field", value);
+    if (cut(value, '=') == name) return value;
+  }
+  return std::nullopt;
+}
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/resp.h
@@ -0,0 +1,27 @@
+// RESP arrays of bulk strings, and the field lists that stand in them. No I/O.
+#pragma once
+
+#include <cstddef>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace walkpaddle::net {
+
+// The words of the array that `bytes` begins with, and how many bytes it took: 0 while it is not whole. What
+// cannot become one, or claims more than `most_words` words or `most_bytes` bytes in one, is Malformed.
+struct Words {
+  std::vector<std::string_view> words;
+  std::size_t used = 0;
+};
+void read_words(std::string_view bytes, std::size_t most_words, std::size_t most_bytes, Words& into);
+
+std::string words_text(std::initializer_list<std::string_view> words);
+
+// The value of a field in "name=value,name=value" (or "-"); nullopt if it is not there. A part without '=' is
+// Malformed.
+std::optional<std::string_view> field(std::string_view fields, std::string_view name);
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/router.cpp
@@ -0,0 +1,98 @@
+#include "net/router.h"
+
+#include <signal.h>
+#include <sys/signalfd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+
+#include "net/txn.h"
+
+namespace walkpaddle::net {
+
+namespace {
+
+Sec longest_time_limit(const Settings& s) {
+  Sec longest = 0;
+  for (int n = 0; n < s.whole("categories.count"); ++n)
+    longest = std::max(longest, s.ms("categories." + std::to_string(n) + ".deadline"));
+  return longest;
+}
+
+}  // namespace
+
+Router::Signals::Signals(Scheduler& s) : scheduler(s), came(s) {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  sigprocmask(SIG_BLOCK, &set, nullptr);
+  fd = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
+  scheduler.watch(fd.get(), *this);
+}
+
+Router::Signals::~Signals() { scheduler.forget(fd.get(), *this); }
+
+bool Router::Signals::take() {
+  signalfd_siginfo info;
+  return ::read(fd.get(), &info, sizeof info) == sizeof info;
+}
+
+Router::Router(Config config, Log& log)
+    : log_(log),
+      config_(std::move(config)),
+      signals_(scheduler_),
+      desk_(scheduler_, fold_seed(config_.seed), config_.settings),
+      outbox_(scheduler_),
+      caches_(scheduler_, outbox_, log, config_.settings.whole("allowed.streams_per_conn", 32),
+              config_.settings.ms("allowed.dial_timeout"), config_.settings.ms("allowed.idle_close"),
+              config_.settings.flag("allowed.cancel")),
+      list_(scheduler_, outbox_, log, desk_, caches_),
+      clients_(scheduler_, outbox_, log, config_.listen, rule_names(config_.settings),
+               [this](std::shared_ptr<Client> client, Order order) {
+                 scheduler_.start(serve(scheduler_, desk_, caches_, std::move(client), std::move(order)));
+               }) {
+  log_("start", "{} on {}, {} descriptors, {} MB", config_.name, text_of(config_.listen), config_.sockets,
+       config_.memory_mb);
+  scheduler_.start(live());
+}
+
+Router::~Router() { scheduler_.drop_tasks(); }
+
+void Router::run() { scheduler_.run(); }
+
+void Router::enter(Phase phase) {
+  constexpr std::string_view kNames[] = {"starting", "serving", "draining", "stopped"};
+  constexpr std::string_view kAlive[] = {"UNREADY", "READY", "DRAIN", "DRAIN"};
+  phase_ = phase;
+  clients_.set_word(kAlive[static_cast<int>(phase)]);
+  log_("phase", "{}, {} clients, {} txns open", kNames[static_cast<int>(phase)], clients_.count(),
+       desk_.txns_open());
+}
+
+Task Router::live() {
+  enter(Phase::starting);
+  const auto last = hand_known(config_.known, config_.settings, list_);
+  if (config_.has_bus) list_.follow(config_.bus, last);
+
+  enter(Phase::serving);
+  while (!signals_.take()) co_await signals_.came.wait();
+
+  // Clients that have not heard yet still come, for most of a second; those that are open have their time.
+  constexpr Sec kComing = 0.8, kLook = 0.02;
+  enter(Phase::draining);
+  const Sec asked = scheduler_.now(), last_end = asked + kComing + longest_time_limit(config_.settings);
+  Event look(scheduler_);
+  while (scheduler_.now() < last_end && (scheduler_.now() < asked + kComing || desk_.txns_open() > 0))
+    co_await look.wait(scheduler_.now() + kLook);
+
+  enter(Phase::stopped);
+  clients_.stop_accepting();
+  clients_.close_idle();
+  co_await look.wait(scheduler_.now() + kLook);
+  scheduler_.stop();
+}
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/router.h
@@ -0,0 +1,46 @@
+// The router: its parts and its phases, from start to exit.
+#pragma once
+
+#include "net/caches.h"
+#include "net/clients.h"
+#include "net/config.h"
+#include "net/desk.h"
+#include "net/list.h"
+#include "net/log.h"
+
+namespace walkpaddle::net {
+
+class Router {
+ public:
+  Router(Config config, Log& log);
+  ~Router();
+  void run();  // returns once stopped
+
+ private:
+  enum class Phase { starting, serving, draining, stopped };
+  struct Signals final : Scheduler::Watcher {
+    explicit Signals(Scheduler& scheduler);
+    ~Signals();
+    void on_ready(std::uint32_t) override { came.set(); }
+    bool take();
+    Scheduler& scheduler;
+    Fd fd;
+    Event came;
+  };
+
+  void enter(Phase phase);
+  Task live();
+
+  Log& log_;
+  const Config config_;
+  Phase phase_ = Phase::starting;
+  Scheduler scheduler_;
+  Signals signals_;
+  Desk desk_;  // before the outbox: what a turn decides goes out at its end
+  Outbox outbox_;
+  Caches caches_;
+  List list_;
+  Clients clients_;
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/scheduler.cpp
@@ -0,0 +1,133 @@
+#include "net/scheduler.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cmath>
+#include <system_error>
+
+namespace walkpaddle::net {
+
+namespace {
+
+template <class Clock>
+Sec seconds_of() {
+  return std::chrono::duration<Sec>(Clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+void Event::set() {
+  if (set_) return;
+  set_ = true;
+  if (!task_ || ready_) return;
+  ready_ = true;
+  scheduler_.ready_.push_back(this);
+}
+
+void Event::wait_as(std::coroutine_handle<> task, Sec until) {
+  task_ = task;
+  if (until >= kNoTime) return;
+  timer_ = scheduler_.timers_.emplace(until, this);
+  timed_ = true;
+}
+
+void Event::drop() {
+  task_ = {};
+  if (std::exchange(timed_, false)) scheduler_.timers_.erase(timer_);
+  if (!std::exchange(ready_, false)) return;
+  std::replace(scheduler_.ready_.begin(), scheduler_.ready_.end(), this, static_cast<Event*>(nullptr));
+}
+
+Scheduler::Scheduler() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+  // The steady clock moves the time on, so that a step of the system's clock moves no timer.
+  unix_less_steady_ =
+      seconds_of<std::chrono::system_clock>() - seconds_of<std::chrono::steady_clock>();
+  read_clock();
+}
+
+Scheduler::~Scheduler() { drop_tasks(); }
+
+void Scheduler::drop_tasks() { std::exchange(tasks_, {}).clear(); }
+
+void Scheduler::read_clock() { now_ = seconds_of<std::chrono::steady_clock>() + unix_less_steady_; }
+
+void Scheduler::start(Task task) {
+  const auto handle = task.handle();
+  tasks_.emplace(handle.address(), std::move(task));
+  resume(handle);
+}
+
+// A task that ends is dropped here, after it has given the control back.
+void Scheduler::resume(std::coroutine_handle<> task) {
+  task.resume();
+  if (task.done()) tasks_.erase(task.address());
+}
+
+void Scheduler::watch(int fd, Watcher& watcher) {
+  epoll_event e{};
+  e.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  e.data.ptr = &watcher;
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &e) != 0)
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+}
+
+void Scheduler::forget(int fd, Watcher& watcher) {
+  ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+  std::replace(told_.begin(), told_.end(), &watcher, static_cast<Watcher*>(nullptr));
+}
+
+void Scheduler::wait_for_edges() {
+  constexpr int kAtOnce = 256;  // more wait for the next turn, which comes at once
+  epoll_event events[kAtOnce];
+  timespec wait{0, 0}, *until = nullptr;
+  if (!timers_.empty()) {
+    read_clock();
+    const Sec left = std::clamp(timers_.begin()->first - now_, 0.0, 3600.0);
+    wait.tv_sec = static_cast<time_t>(left);
+    wait.tv_nsec = static_cast<long>((left - std::floor(left)) * 1e9);
+    until = &wait;
+  }
+  const int got = ::epoll_pwait2(epoll_.get(), events, kAtOnce, until, nullptr);
+  if (got < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_pwait2");
+  read_clock();
+  told_.clear();
+  for (int n = 0; n < got; ++n) told_.push_back(static_cast<Watcher*>(events[n].data.ptr));
+  for (int n = 0; n < got; ++n)
+    if (auto* watcher = told_[n]) watcher->on_ready(events[n].events);
+  told_.clear();
+  while (!timers_.empty() && timers_.begin()->first <= now_) {
+    auto* event = timers_.begin()->second;
+    timers_.erase(timers_.begin());
+    event->timed_ = false;
+    if (std::exchange(event->ready_, true)) continue;
+    ready_.push_back(event);
+  }
+}
+
+void Scheduler::run_ready() {
+  while (!ready_.empty()) {
+    auto* event = ready_.front();
+    ready_.pop_front();
+    if (event == nullptr) continue;
+    event->ready_ = false;
+    resume(std::exchange(event->task_, {}));
+  }
+}
+
+void Scheduler::run() {
+  while (!stopped_) {
+    run_ready();
+    for (const auto& call : ends_) {
+      call();
+      run_ready();
+    }
+    if (stopped_) return;
+    wait_for_edges();
+  }
+}
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/scheduler.h
@@ -0,0 +1,102 @@
+// The scheduler: one thread, coroutines over epoll, timers finer than a millisecond. A turn reads the clock
+// once, wakes what became ready, runs the tasks until none is ready, and then calls the ends of the turn.
+#pragma once
+
+#include <coroutine>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "brain.h"
+#include "net/fd.h"
+#include "net/task.h"
+
+namespace walkpaddle::net {
+
+class Scheduler;
+
+constexpr Sec kNoTime = 1e15;
+
+// What one task waits for, with or without a time. It can be set before; it stays set until taken. Whichever
+// is dropped first, the event or the waiting task, leaves its timer and its place among the ready.
+class Event {
+ public:
+  explicit Event(Scheduler& scheduler) : scheduler_(scheduler) {}
+  Event(const Event&) = delete;
+  Event& operator=(const Event&) = delete;
+  ~Event() { drop(); }
+
+  void set();
+
+  class Awaiter {
+   public:
+    Awaiter(Event& event, Sec until) : event_(event), until_(until) {}
+    Awaiter(const Awaiter&) = delete;
+    Awaiter& operator=(const Awaiter&) = delete;
+    ~Awaiter() { event_.drop(); }
+    bool await_ready() const { return event_.set_; }
+    void await_suspend(std::coroutine_handle<> task) { event_.wait_as(task, until_); }
+    bool await_resume() const { return std::exchange(event_.set_, false); }  // false: the time came first
+
+   private:
+    Event& event_;
+    Sec until_;
+  };
+  Awaiter wait(Sec until = kNoTime) { return {*this, until}; }
+
+ private:
+  friend class Scheduler;
+  void wait_as(std::coroutine_handle<> task, Sec until);
+  void drop();
+
+  Scheduler& scheduler_;
+  std::coroutine_handle<> task_;
+  std::multimap<Sec, Event*>::iterator timer_{};
+  bool set_ = false, timed_ = false, ready_ = false;
+};
+
+class Scheduler {
+ public:
+  // Told of a descriptor's edges; lives as long as its place in epoll.
+  class Watcher {
+   public:
+    virtual void on_ready(std::uint32_t epoll_events) = 0;
+
+   protected:
+    ~Watcher() = default;
+  };
+
+  Scheduler();
+  ~Scheduler();
+
+  Sec now() const { return now_; }  // Unix time, read once a turn
+  void start(Task task);  // runs it up to its first wait, then goes on with the caller
+  void watch(int fd, Watcher& watcher);
+  void forget(int fd, Watcher& watcher);
+  void at_turns_end(std::function<void()> call) { ends_.push_back(std::move(call)); }
+  void run();  // until stop(); an exception of a task comes out here
+  void stop() { stopped_ = true; }
+  void drop_tasks();
+
+ private:
+  friend class Event;
+  void read_clock();
+  void wait_for_edges();
+  void run_ready();
+  void resume(std::coroutine_handle<> task);
+
+  Fd epoll_;
+  Sec now_ = 0, unix_less_steady_ = 0;
+  bool stopped_ = false;
+  std::multimap<Sec, Event*> timers_;
+  std::deque<Event*> ready_;  // null: dropped since
+  std::unordered_map<void*, Task> tasks_;  // by their frames
+  std::vector<std::function<void()>> ends_;
+  std::vector<Watcher*> told_;  // this turn's; null: forgotten since
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,163 @@
+#include "net/stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+#include "text.h"
+
+namespace walkpaddle::net {
+
+namespace {
+
+sockaddr_in sockaddr_of(const Address& address) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = htonl(address.ip);
+  a.sin_port = htons(address.port);
+  return a;
+}
+
+Fd new_socket() { return Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)); }
+
+}  // namespace
+
+Address parse_address(std::string_view text) {
+  auto rest = text;
+  auto host = cut(rest, ':');
+  Address a{0, parse<std::uint16_t>(rest, "port")};
+  for (int n = 0; n < 4; ++n) a.ip = a.ip << 8 | parse<std::uint8_t>(cut(host, '.'), "address");
+  if (!host.empty()) bad("address", text);
+  return a;
+}
+
+std::string text_of(const Address& a) {
+  std::string text;
+  for (int shift = 24; shift >= 0; shift -= 8)
+    text += std::to_string(a.ip >> shift & 255) + (shift > 0 ? "." : ":");
+  return text + std::to_string(a.port);
+}
+
+Fd listen_on(const Address& address) {
+  Fd fd = new_socket();
+  const auto a = sockaddr_of(address);
+  const int on = 1;
+  if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0 ||
+      ::listen(fd.get(), SOMAXCONN) != 0)
+    throw std::system_error(errno, std::generic_category(), "listen on " + text_of(address));
+  return fd;
+}
+
+Fd dial(const Address& address) {
+  Fd fd = new_socket();
+  if (!fd) return fd;
+  const auto a = sockaddr_of(address);
+  if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0 && errno != EINPROGRESS)
+    return Fd();
+  return fd;
+}
+
+void Outbox::remove(Stream& stream) {
+  std::replace(streams_.begin(), streams_.end(), &stream, static_cast<Stream*>(nullptr));
+}
+
+void Outbox::flush() {
+  for (auto* stream : std::exchange(streams_, {}))
+    if (stream != nullptr) stream->flush();
+}
+
+Stream::Stream(Scheduler& scheduler, Outbox& outbox, Fd fd)
+    : scheduler_(scheduler), outbox_(outbox), fd_(std::move(fd)), readable_(scheduler), writable_(scheduler) {
+  const int on = 1;
+  ::setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  scheduler_.watch(fd_.get(), *this);
+}
+
+Stream::~Stream() {
+  if (queued_) outbox_.remove(*this);
+  scheduler_.forget(fd_.get(), *this);
+}
+
+void Stream::on_ready(std::uint32_t epoll_events) {
+  if ((epoll_events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) readable_.set();
+  if ((epoll_events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0) {
+    writable_.set();
+    if (std::exchange(blocked_, false)) flush();
+  }
+}
+
+Stream::Came Stream::read() {
+  if (broken_) return Came::end;
+  // A call takes what some tens of small messages or part of a large one need; others get their turn between.
+  constexpr std::size_t kAtOnce = 64 * 1024;
+  if (in_from_ == in_.size()) {
+    in_.clear(), in_from_ = 0;
+    if (in_.capacity() > 4 * kAtOnce) in_.shrink_to_fit();  // grown for one large message
+  } else if (in_from_ > kAtOnce) {
+    in_.erase(0, std::exchange(in_from_, 0));
+  }
+  const auto had = in_.size();
+  in_.resize(had + kAtOnce);
+  const auto got = ::recv(fd_.get(), in_.data() + had, kAtOnce, 0);
+  const int why = errno;
+  in_.resize(had + (got > 0 ? static_cast<std::size_t>(got) : 0));
+  if (got > 0) return Came::bytes;
+  if (got < 0 && (why == EAGAIN || why == EINTR)) return Came::nothing;
+  broken_ = got < 0;
+  return Came::end;
+}
+
+void Stream::consume(std::size_t bytes) { in_from_ += bytes; }
+
+int Stream::error() const {
+  int error = 0;
+  socklen_t size = sizeof error;
+  ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+  return error;
+}
+
+void Stream::write(std::string_view bytes) {
+  if (broken_) return;
+  out_ += bytes;
+  written_ += bytes.size();
+  if (!std::exchange(queued_, true)) outbox_.add(*this);
+}
+
+void Stream::flush() {
+  queued_ = false;
+  while (!blocked_ && !broken_ && out_from_ < out_.size()) {
+    const auto sent = ::send(fd_.get(), out_.data() + out_from_, out_.size() - out_from_, MSG_NOSIGNAL);
+    if (sent >= 0) {
+      out_from_ += static_cast<std::size_t>(sent);
+      handed_ += static_cast<std::size_t>(sent);
+    } else if (errno == EAGAIN) {
+      blocked_ = true;
+    } else if (errno != EINTR) {
+      close();
+    }
+  }
+  constexpr std::size_t kKept = 64 * 1024;  // an idle connection's buffer; what is sent is dropped in steps of it
+  if (out_from_ == out_.size()) {
+    out_.clear(), out_from_ = 0;
+    if (out_.capacity() > kKept) out_.shrink_to_fit();
+  } else if (out_from_ > kKept) {
+    out_.erase(0, std::exchange(out_from_, 0));
+  }
+}
+
+void Stream::end_writing() { ::shutdown(fd_.get(), SHUT_WR); }
+
+void Stream::close() {
+  broken_ = true;
+  readable_.set();
+  writable_.set();
+}
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,80 @@
+// One TCP connection: what came in, what is to go out. Writes are gathered and handed to the kernel once a
+// turn.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/fd.h"
+#include "net/scheduler.h"
+
+namespace walkpaddle::net {
+
+struct Address {
+  std::uint32_t ip = 0;  // host order
+  std::uint16_t port = 0;
+  auto operator<=>(const Address&) const = default;
+};
+Address parse_address(std::string_view text);  // a.b.c.d:port, else Malformed
+std::string text_of(const Address& address);
+
+Fd listen_on(const Address& address);  // throws std::system_error
+Fd dial(const Address& address);       // on its way; invalid with errno if refused at once
+
+class Stream;
+
+// The streams that have something to send at the turn's end.
+class Outbox {
+ public:
+  explicit Outbox(Scheduler& scheduler) {
+    scheduler.at_turns_end([this] { flush(); });
+  }
+  void add(Stream& stream) { streams_.push_back(&stream); }
+  void remove(Stream& stream);
+  void flush();
+
+ private:
+  std::vector<Stream*> streams_;  // null: dropped since
+};
+
+class Stream final : Scheduler::Watcher {
+ public:
+  Stream(Scheduler& scheduler, Outbox& outbox, Fd fd);
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+  ~Stream();
+
+  enum class Came { bytes, nothing, end };
+  Came read();  // takes what the kernel holds, within a bound a call
+  std::string_view in() const { return {in_.data() + in_from_, in_.size() - in_from_}; }
+  void consume(std::size_t bytes);
+  Event::Awaiter readable(Sec until = kNoTime) { return readable_.wait(until); }
+  Event::Awaiter writable(Sec until = kNoTime) { return writable_.wait(until); }
+  int error() const;  // pending on the socket, 0 for none
+
+  void write(std::string_view bytes);
+  std::uint64_t written() const { return written_; }  // bytes given to write() so far
+  std::uint64_t handed() const { return handed_; }    // of these, bytes that the kernel took
+  std::size_t unsent() const { return written_ - handed_; }
+  void flush();
+  void end_writing();
+  void close();  // as if the other side had closed: the reader wakes and sees the end
+  bool broken() const { return broken_; }
+
+ private:
+  void on_ready(std::uint32_t epoll_events) override;
+
+  Scheduler& scheduler_;
+  Outbox& outbox_;
+  Fd fd_;
+  Event readable_, writable_;
+  std::string in_, out_;
+  std::size_t in_from_ = 0, out_from_ = 0;
+  std::uint64_t written_ = 0, handed_ = 0;
+  bool queued_ = false, blocked_ = false, broken_ = false;
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/task.h
@@ -0,0 +1,35 @@
+// A task: a coroutine that the scheduler owns from its start to its end.
+#pragma once
+
+#include <coroutine>
+#include <exception>
+#include <utility>
+
+namespace walkpaddle::net {
+
+class Task {
+ public:
+  struct promise_type {
+    Task get_return_object() { return Task(std::coroutine_handle<promise_type>::from_promise(*this)); }
+    std::suspend_always initial_suspend() noexcept { return {}; }
+    std::suspend_always final_suspend() noexcept { return {}; }
+    void return_void() {}
+    void unhandled_exception() { throw; }  // ends the program by way of Scheduler::run
+  };
+
+  explicit Task(std::coroutine_handle<promise_type> handle) : handle_(handle) {}
+  Task(Task&& other) noexcept : handle_(std::exchange(other.handle_, {})) {}
+  Task& operator=(Task&& other) noexcept {
+    std::swap(handle_, other.handle_);
+    return *this;
+  }
+  ~Task() {
+    if (handle_) handle_.destroy();
+  }
+  std::coroutine_handle<> handle() const { return handle_; }
+
+ private:
+  std::coroutine_handle<promise_type> handle_;
+};
+
+}  // namespace walkpaddle::net
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,39 @@
+// The settings by path, and the calls of the module that they lead to; one copy for every host.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "brain.h"
+
+namespace walkpaddle {
+
+// FNV-1a with a final mix: small, and the same at every router and on every machine.
+std::uint64_t stable_hash(std::string_view text);
+
+// The module's seed is 32 bits; hosts are handed 64.
+constexpr std::uint32_t fold_seed(std::uint64_t seed) { return static_cast<std::uint32_t>(seed ^ (seed >> 32)); }
+
+// What is absent reads as the value given. Lists of plain values are joined by commas; lists of objects have
+// their length under .count and their items under .0, .1 and so on.
+class Settings {
+ public:
+  void put(std::string path, std::string value) { values_[std::move(path)] = std::move(value); }
+  std::string_view text(const std::string& path, std::string_view absent = "") const;
+  double number(const std::string& path, double absent = 0) const;
+  Sec ms(const std::string& path) const { return number(path) / 1e3; }
+  int whole(const std::string& path, int absent = 0) const { return static_cast<int>(number(path, absent)); }
+  bool flag(const std::string& path, bool absent = false) const;
+  std::string_view item(const std::string& path, std::size_t at) const;
+  double item_number(const std::string& path, std::size_t at) const;
+
+ private:
+  std::unordered_map<std::string, std::string> values_;
+};
+
+// Hands the module its settings, each part its own few.
+void hand_over(const Settings& settings, Brain& brain);
+
+}  // namespace walkpaddle
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -2,107 +2,24 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
+
+#include "settings.h"
 
 namespace walkpaddle::wirehost {
 
 namespace {
 
-// FNV-1a with a final mix: small, and the same at every router and on every machine.
-std::uint64_t stable_hash(std::string_view text) {
-  std::uint64_t h = 14695981039346656037u;
-  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211u;
-  h = (h ^ (h >> 33)) * 0xff51afd7ed558ccdu;
-  return h ^ (h >> 33);
-}
-
-[[noreturn]] void bad(const char* name, std::string_view got) {
-  throw Malformed(std::string("bad ") + name + " '" + std::string(got.substr(0, 60)) + "'");
-}
-
-template <class T>
-T parse(std::string_view text, const char* name) {
-  T value{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) bad(name, text);
-  if constexpr (std::is_floating_point_v<T>) {
-    if (!std::isfinite(value)) bad(name, text);
-  }
-  return value;
-}
-
-std::string_view cut(std::string_view& rest, char mark) {
-  const auto at = rest.find(mark);
-  const auto head = rest.substr(0, at);
-  rest = at == std::string_view::npos ? std::string_view() : rest.substr(at + 1);
-  return head;
-}
-
-// The settings of ENLIST, by path. What is absent reads as the value given.
-class Settings {
- public:
-  explicit Settings(std::string_view rest) {
-    while (!rest.empty()) {
-      const auto pair = cut(rest, ' ');
-      if (pair.empty()) continue;
-      const auto eq = pair.find('=');
-      if (eq == std::string_view::npos) bad("settings pair", pair);
-      values_[pair.substr(0, eq)] = pair.substr(eq + 1);
-    }
-  }
-  std::string_view text(const std::string& path, std::string_view absent = "") const {
-    const auto it = values_.find(path);
-    return it == values_.end() || it->second == "-" ? absent : it->second;
-  }
-  double number(const std::string& path, double absent = 0) const {
-    const auto value = text(path);
-    return value.empty() ? absent : parse<double>(value, path.c_str());
-  }
-  Sec ms(const std::string& path) const { return number(path) / 1e3; }
-  int whole(const std::string& path, int absent = 0) const { return static_cast<int>(number(path, absent)); }
-  bool flag(const std::string& path, bool absent = false) const {
-    const auto value = text(path);
-    return value.empty() ? absent : value == "true" || value == "1";
-  }
-  std::string_view item(const std::string& path, std::size_t at) const {
-    auto rest = text(path);
-    for (; at > 0 && !rest.empty(); --at) cut(rest, ',');
-    return cut(rest, ',');
+// The pairs of ENLIST.
+Settings settings_of(std::string_view rest) {
+  Settings s;
+  while (!rest.empty()) {
+    auto pair = cut(rest, ' ');
+    if (pair.empty()) continue;
+    if (pair.find('=') == std::string_view::npos) bad("settings pair", pair);
+    const auto path = cut(pair, '=');
+    s.put(std::string(path), std::string(pair));
   }
-  double item_number(const std::string& path, std::size_t at) const {
-    const auto value = item(path, at);
-    return value.empty() ? 0 : parse<double>(value, path.c_str());
-  }
-
- private:
-  std::unordered_map<std::string_view, std::string_view> values_;
-};
-
-template <class T>
-T choose(std::string_view word, std::initializer_list<std::pair<std::string_view, T>> known, T other) {
-  for (const auto& [name, value] : known)
-    if (name == word) return value;
-  return other;
-}
-
-RemapRule rule_of(const Settings& s, std::size_t n) {
-  const std::string at = "categories." + std::to_string(n) + ".";
-  RemapRule r;
-  r.effect = choose(s.text(at + "effect"), {{"free", Effect::repeatable}, {"guarded", Effect::keyed}},
-                    Effect::unrepeatable);
-  r.group = choose(s.text(at + "group"), {{"zone", Group::location}, {"cell", Group::cell}}, Group::all);
-  r.window = s.ms(at + "window");
-  r.sla_time = s.ms(at + "aim");
-  r.sla_stretch = s.number(at + "aim_stretch");
-  r.time_limit = s.ms(at + "deadline");
-  r.importance = s.number(at + "gain", 1);
-  r.late_share = s.number(at + "late_worth");
-  r.fresh = s.item_number("specifics.class_fresh", n) / 1e3;
-  r.grace = s.item_number("specifics.class_grace", n) / 1e3;
-  r.old_share = s.item_number("specifics.stale_earns", n);
-  r.in_parts = s.item("specifics.in_parts", n) == "true";
-  r.uncacheable = s.item("specifics.pass_on", n) == "true";
-  return r;
+  return s;
 }
 
 Verdict verdict_of(std::uint64_t code) {
@@ -245,40 +162,16 @@
 void Host::enlist(Fields& f) {
   const int number = static_cast<int>(f.integer("i"));
   const auto seed = f.integer("entropy");
-  const Settings s(f.rest());
+  const Settings s = settings_of(f.rest());
   instances_.erase(number);
-  auto& in = instances_.try_emplace(number, static_cast<std::uint32_t>(seed ^ (seed >> 32))).first->second;
+  auto& in = instances_.try_emplace(number, fold_seed(seed)).first->second;
   touch(number);
   guarded(number, [&] {
-    auto& b = *in.brain;
-    b.clock(clock_);
-    const int here = s.whole("locality");
-    b.set_place({here, std::max(1, static_cast<int>(s.item_number("specifics.seats_by_zone", here))),
-                 std::max(1, s.whole("fleet_size", 1))});
-    b.set_roles({s.whole("specifics.second_tier_kind", -1), s.whole("specifics.origin_kind", -1),
-                 s.flag("specifics.direct")});
-    const auto rules = static_cast<std::size_t>(s.number("categories.count"));
-    for (std::size_t n = 0; n < rules; ++n) b.add_rule(rule_of(s, n));
-    in.rules = static_cast<int>(rules);
-    b.set_hopping({s.whole("allowed.max_attempts", 1), s.flag("allowed.cancel")});
-    b.set_filling(
-        {choose(s.text("specifics.peers_fill"), {{"location", Siblings::location}, {"any", Siblings::any}},
-                Siblings::none),
-         s.flag("specifics.merges_fills"),
-         choose(s.text("specifics.notes_given"), {{"all", Notes::all}, {"hit", Notes::hit}}, Notes::none),
-         s.number("specifics.client_kb_per_s")});
-    b.set_cold({s.number("rules.cold_from", 1), s.number("rules.fall_multiple", 1), s.ms("rules.warm_after"),
-                s.ms("rules.overload_for")},
-               {s.number("specifics.upper_cold_from", 1), s.number("specifics.upper_fall_multiple", 1),
-                s.ms("specifics.parent_warms_in"), s.ms("rules.overload_for")});
+    in.brain->clock(clock_);
+    hand_over(s, *in.brain);
+    in.rules = s.whole("categories.count");
     for (int n = 0; n < 4 && in.util_at < 0; ++n)
       if (s.item("report.names", n) == "util" && s.text("report.source") == "answers") in.util_at = n;
-    const auto weights = s.text("weights");
-    b.set_weights(weights == "nominal" || weights == "rough");
-    b.set_list(s.text("registry_mode") == "ask");
-    b.set_purges(s.ms("specifics.purge_settles"));
-    b.set_clients({s.flag("client_habits.marks_retry"),
-                   s.flag("allowed.retry_after") ? s.ms("allowed.max_retry_after") : 0});
   });
 }
 
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -12,13 +11,10 @@
 #include <vector>
 
 #include "brain.h"
+#include "text.h"
 
 namespace walkpaddle::wirehost {
 
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 // The fields of one line, taken from left to right. "-" and missing optional fields read as absent.
 class Fields {
  public:
