--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -35,10 +35,15 @@
 }
 
 Desk::Desk(Scheduler& scheduler, std::uint32_t seed, const Settings& settings)
-    : scheduler_(scheduler), brain_(make_brain(seed)), wake_(scheduler) {
+    : scheduler_(scheduler),
+      brain_(make_brain(seed)),
+      between_pulls_(settings.ms("tick")),
+      wake_(scheduler),
+      pull_(scheduler) {
   hand_over(settings, input());
-  scheduler_.at_turns_end([this] { pull(); });
+  scheduler_.at_turns_end([this] { turn_ends(); });
   scheduler_.start(keep_time());
+  scheduler_.start(keep_pulling());
 }
 
 Brain& Desk::input() {
@@ -54,7 +59,24 @@
   }
 }
 
+// A pull asks again for each txn that waits, thousands of times a second if each turn did it. So pulls keep the
+// settings' least time between two; the first after a quiet while comes at once.
+void Desk::turn_ends() {
+  if (scheduler_.now() >= pulled_at_ + between_pulls_) return pull();
+  if (!std::exchange(pull_due_, true)) pull_.set();
+}
+
+Task Desk::keep_pulling() {
+  for (;;) {
+    co_await pull_.wait();
+    Event due(scheduler_);
+    co_await due.wait(pulled_at_ + between_pulls_);  // the turn that this makes ends with the pull
+    pull_due_ = false;
+  }
+}
+
 void Desk::pull() {
+  pulled_at_ = scheduler_.now();
   input();
   while (const auto d = brain_->next()) {
     using Kind = Decision::Kind;
--- a/src/net/desk.h
+++ b/src/net/desk.h
@@ -49,14 +49,19 @@
 
  private:
   friend class Seat;
+  void turn_ends();
   void pull();
+  Task keep_pulling();
   Task keep_time();
 
   Scheduler& scheduler_;
   std::unique_ptr<Brain> brain_;
   std::vector<Seat*> seats_;
   std::vector<int> free_;
-  Event wake_;
+  const Sec between_pulls_;
+  Event wake_, pull_;
+  Sec pulled_at_ = 0;
+  bool pull_due_ = false;
   Sec wake_at_ = kNoTime;
 };
 
