--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -95,19 +95,16 @@
 
 Stream::Came Stream::read() {
   if (broken_) return Came::end;
-  // A call takes what some tens of small messages or part of a large one need; others get their turn between.
-  constexpr std::size_t kAtOnce = 64 * 1024;
+  auto& room = outbox_.room();
   if (in_from_ == in_.size()) {
     in_.clear(), in_from_ = 0;
-    if (in_.capacity() > 4 * kAtOnce) in_.shrink_to_fit();  // grown for one large message
-  } else if (in_from_ > kAtOnce) {
+    if (in_.capacity() > 4 * room.size()) in_.shrink_to_fit();  // grown for one large message
+  } else if (in_from_ > room.size()) {
     in_.erase(0, std::exchange(in_from_, 0));
   }
-  const auto had = in_.size();
-  in_.resize(had + kAtOnce);
-  const auto got = ::recv(fd_.get(), in_.data() + had, kAtOnce, 0);
+  const auto got = ::recv(fd_.get(), room.data(), room.size(), 0);
   const int why = errno;
-  in_.resize(had + (got > 0 ? static_cast<std::size_t>(got) : 0));
+  if (got > 0) in_.append(room.data(), static_cast<std::size_t>(got));
   if (got > 0) return Came::bytes;
   if (got < 0 && (why == EAGAIN || why == EINTR)) return Came::nothing;
   broken_ = got < 0;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -26,18 +26,22 @@
 
 class Stream;
 
-// The streams that have something to send at the turn's end.
+// What the streams share: those that have something to send at the turn's end, and the room that they read into.
 class Outbox {
  public:
-  explicit Outbox(Scheduler& scheduler) {
+  explicit Outbox(Scheduler& scheduler) : room_(kRoom) {
     scheduler.at_turns_end([this] { flush(); });
   }
   void add(Stream& stream) { streams_.push_back(&stream); }
   void remove(Stream& stream);
   void flush();
+  std::vector<char>& room() { return room_; }
 
  private:
+  // What one read takes: some tens of small messages or part of a large one; others get their turn between.
+  static constexpr std::size_t kRoom = 64 * 1024;
   std::vector<Stream*> streams_;  // null: dropped since
+  std::vector<char> room_;
 };
 
 class Stream final : Scheduler::Watcher {
