Sending times learned from whatever comes until ten answers came in quiet

Limits and means of the first eight seconds, printed by a probe in both hosts, show mean sending times of media at 0.03 to 0.04 s at the routers of one location where the third learned 0.16 to 0.2; their answers looked late, their limits were cut to 5 and stayed. Quiet::see froze the mean on the first answers that came with under 3 in flight: at 700 txns a second that is the first milliseconds, and those of the smallest objects. Ruled out: dialling (no failure in the logs), CPU (no second over 0.7 s), the order of members (same hashes).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -116,16 +116,15 @@
   Sec spent_at = 0;
 };
 
-// A mean as it is in quiet; until quiet is seen, of whatever comes, so that something is known at once.
+// A mean as it is in quiet; until enough came in quiet, of whatever comes, so that something is known at once.
+// Guards against a busy start, where the few answers that come in quiet are those of the smallest objects.
 struct Quiet {
-  double mean = 0;
-  int seen = 0;
-  bool was_quiet = false;
+  double mean = 0, calm = 0;
+  int seen = 0, in_quiet = 0;
   void see(double value, bool quiet) {
-    constexpr int kOver = 50;
-    if (was_quiet && !quiet) return;
-    if (quiet && !was_quiet) was_quiet = true, seen = 0;
-    mean += (value - mean) / std::min(++seen, kOver);
+    constexpr int kOver = 50, kEnough = 10;  // seconds of answers; ten halve the doubt of three
+    if (quiet) calm += (value - calm) / std::min(++in_quiet, kOver);
+    mean = in_quiet >= kEnough ? calm : mean + (value - mean) / std::min(++seen, kOver);
   }
 };
 
