A hop called off ends once its cancel has arrived

Ruled out: two hops by the module (it waits for hop_ended), timeouts (none before the client's end). Now the hop stays out for twice the least time that an answer of that member ever took, which is over a round trip: the cancel has arrived, and an answer that crossed it has come and counts.

--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -26,11 +26,16 @@
   Listed state = Listed::gone;
   std::list<Connection*> connections;  // they live in their tasks
   std::size_t dialing = 0;
+  Sec quickest = 0.05;  // least time from a hop to its answer; at first more than any way between machines
   std::deque<Hop*> waiting;
 };
 
 Hop::Hop(Scheduler& scheduler, Caches& caches, What what)
-    : scheduler_(scheduler), caches_(caches), what_(std::move(what)), event_(scheduler), started_(scheduler.now()) {
+    : scheduler_(scheduler),
+      caches_(caches),
+      what_(std::move(what)),
+      event_(scheduler),
+      started_(scheduler.now()) {
   caches_.start(*this);
 }
 
@@ -44,33 +49,52 @@
 }
 
 Event::Awaiter Hop::wait() {
-  const Sec until =
-      state_ == State::waiting ? std::min(what_.until, started_ + caches_.dial_within_) : what_.until;
-  return event_.wait(until);
+  if (state_ == State::settling) return event_.wait(settled_at_);
+  return event_.wait(state_ == State::waiting ? std::min(what_.until, started_ + caches_.dial_within_)
+                                              : what_.until);
 }
 
 void Hop::time_came() {
-  if (ended()) return;
   const Sec now = scheduler_.now();
-  if (state_ == State::waiting) {
-    const bool dialled = now >= started_ + caches_.dial_within_;
-    if (!dialled && now < what_.until) return;
+  if (state_ == State::settling && now >= settled_at_) {
     caches_.give_up(*this);
-    return finish(dialled ? Verdict::no_connection : Verdict::not_sent);
+    return finish(end_.verdict);
   }
-  if (now < what_.until) return;
-  if (over_->heard < written_at_) over_->silent = true;
-  caches_.give_up(*this);
-  finish(Verdict::timed_out);
+  if (state_ == State::waiting && now >= started_ + caches_.dial_within_) {
+    caches_.give_up(*this);
+    return finish(Verdict::no_connection);
+  }
+  if ((state_ == State::waiting || state_ == State::written) && now >= what_.until)
+    settle(Verdict::timed_out);
 }
 
-void Hop::call_off() {
+void Hop::call_off() { settle(Verdict::called_off); }
+
+void Hop::drop() {
   if (ended()) return;
-  const bool written = state_ == State::written;
+  const bool written = state_ != State::waiting;
   caches_.give_up(*this);
   finish(written ? Verdict::called_off : Verdict::not_sent);
 }
 
+// Guards against two hops of a txn out at once, and against an answer to the first that is taken for the
+// second's: what is called off ends only when the word of it must have arrived and what crossed it has come
+// back.
+void Hop::settle(Verdict verdict) {
+  if (ended() || state_ == State::settling) return;
+  if (state_ == State::waiting) return drop();
+  if (over_->heard < written_at_) over_->silent = true;
+  if (verdict == Verdict::timed_out && what_.last) {
+    caches_.give_up(*this);
+    return finish(verdict);
+  }
+  caches_.cancel(*this);
+  end_.verdict = verdict;
+  settled_at_ = scheduler_.now() + 2 * caches_.peer(what_.member).quickest;
+  state_ = State::settling;
+  event_.set();  // its task waits for another time now
+}
+
 Caches::Caches(Scheduler& scheduler, Outbox& outbox, Log& log, int hops_a_connection, Sec dial_within,
                Sec closed_when_idle, bool cancels)
     : scheduler_(scheduler),
@@ -98,7 +122,7 @@
 void Caches::drop_unsent(F&& concerned) {
   for (auto& p : peers_)
     for (auto* hop : std::vector(p->waiting.begin(), p->waiting.end()))
-      if (concerned(*hop)) hop->call_off();
+      if (concerned(*hop)) hop->drop();
 }
 
 void Caches::told(int member, const Address& address, Listed state) {
@@ -159,15 +183,22 @@
 
 void Caches::give_up(Hop& hop) {
   if (hop.state_ == Hop::State::waiting) std::erase(peer(hop.what_.member).waiting, &hop);
-  if (hop.state_ != Hop::State::written || hop.over_ == nullptr) return;
+  if (hop.over_ == nullptr) return;
   auto& c = *hop.over_;
-  c.open[hop.what_.id] = nullptr;
+  if (hop.state_ == Hop::State::written) cancel(hop);
+  if (hop.state_ == Hop::State::settling)
+    c.open.erase(hop.what_.id);
+  else
+    c.open[hop.what_.id] = nullptr;
   --c.live;
   hop.over_ = nullptr;
-  if (cancels_) c.stream.write(words_text({"cancel", hop.what_.id_text}));
   if (c.silent && c.live == 0) c.stream.close();
 }
 
+void Caches::cancel(Hop& hop) {
+  if (cancels_) hop.over_->stream.write(words_text({"cancel", hop.what_.id_text}));
+}
+
 // As many connections on their way as the waiting hops fill.
 void Caches::dial_for(int member) {
   auto& p = peer(member);
@@ -177,7 +208,8 @@
 
 void Caches::dial_failed(Peer& p, std::string_view why) {
   log_("connect", "{} at {}: {}", p.id, text_of(p.address), why);
-  if (p.dialing > 0 || std::ranges::any_of(p.connections, [](auto* c) { return c->up && !c->silent; })) return;
+  if (p.dialing > 0 || std::ranges::any_of(p.connections, [](auto* c) { return c->up && !c->silent; }))
+    return;
   for (auto* hop : std::exchange(p.waiting, {})) hop->finish(Verdict::no_connection);
 }
 
@@ -228,7 +260,9 @@
   if (!why.empty() && c.live > 0) log_("connection", "{}: {}, {} hops out", p.id, why, c.live);
   for (auto& [id, hop] : std::exchange(c.open, {}))
     if (hop != nullptr)
-      hop->finish(c.stream.handed() >= hop->last_byte_ ? Verdict::broken : Verdict::no_connection);
+      hop->finish(hop->state_ == Hop::State::settling    ? hop->end_.verdict
+                  : c.stream.handed() >= hop->last_byte_ ? Verdict::broken
+                                                         : Verdict::no_connection);
   if (!p.waiting.empty()) dial_for(member);
 }
 
@@ -280,6 +314,8 @@
   c.used = scheduler_.now();
   if (hop == nullptr) return;
   --c.live;
+  auto& quickest = peer(hop->what_.member).quickest;
+  quickest = std::min(quickest, scheduler_.now() - hop->written_at_);
   auto& end = hop->end_;
   end.note = note;
   end.still_good = words[1] == "still_good";
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -37,6 +37,7 @@
     std::string_view id_text, body;  // as the client sent them
     std::string fields;              // all but the limit, which is known only when it is written
     Sec until = 0;                   // its time-out, on the clock
+    bool last = false;               // no other hop can follow its time-out
   };
   Hop(Scheduler& scheduler, Caches& caches, What what);
   Hop(const Hop&) = delete;
@@ -46,14 +47,16 @@
   bool ended() const { return state_ == State::ended; }
   Event::Awaiter wait();  // until it has ended or time_came() is to be called
   void time_came();
-  void call_off();
+  void call_off();  // given up at the cache server; it ends once no answer can cross any more
+  void drop();      // ends at once: nothing follows for its txn
   HopEnd& end() { return end_; }
   Sec started() const { return started_; }
 
  private:
   friend class Caches;
-  enum class State { waiting, written, ended };
+  enum class State { waiting, written, settling, ended };
   void finish(Verdict verdict);
+  void settle(Verdict verdict);
 
   Scheduler& scheduler_;
   Caches& caches_;
@@ -61,7 +64,7 @@
   Event event_;
   State state_ = State::waiting;
   struct Connection* over_ = nullptr;
-  Sec started_, written_at_ = 0;
+  Sec started_, written_at_ = 0, settled_at_ = 0;
   std::uint64_t last_byte_ = 0;  // its place in the connection's bytes
   HopEnd end_;
 };
@@ -84,6 +87,7 @@
   Peer& peer(int member) const { return *peers_[member]; }
   void start(Hop& hop);
   void give_up(Hop& hop);
+  void cancel(Hop& hop);
   void write(Hop& hop, Connection& over);
   void place(Peer& at);
   void dial_for(int member);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -14,7 +14,8 @@
 std::string plain(const json& value) {
   if (!value.is_string()) return value.is_null() ? "-" : value.dump();
   auto text = value.get<std::string>();
-  std::replace_if(text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
   return text;
 }
 
@@ -80,7 +81,8 @@
       c.memory_mb = j["limits"].value("memory_mb", c.memory_mb);
     }
     flatten(j.at("settings"), "", c.settings);
-    if (c.settings.whole("categories.count") <= 0) throw Malformed("configuration: settings without categories");
+    if (c.settings.whole("categories.count") <= 0)
+      throw Malformed("configuration: settings without categories");
     c.known = j.at("known").dump();
     return c;
   });
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -30,7 +30,7 @@
 void Seat::leave() {
   if (std::exchange(left_, true)) return;
   desk_.input().txn_left(slot_);
-  if (hop_ != nullptr) hop_->call_off();
+  if (hop_ != nullptr) hop_->drop();
   event_.set();
 }
 
@@ -59,8 +59,8 @@
   }
 }
 
-// A pull asks again for each txn that waits, thousands of times a second if each turn did it. So pulls keep the
-// settings' least time between two; the first after a quiet while comes at once.
+// A pull asks again for each txn that waits, thousands of times a second if each turn did it. So pulls keep
+// the settings' least time between two; the first after a quiet while comes at once.
 void Desk::turn_ends() {
   if (scheduler_.now() >= pulled_at_ + between_pulls_) return pull();
   if (!std::exchange(pull_due_, true)) pull_.set();
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -36,8 +36,8 @@
 }
 
 Task List::follow_all(Address bus) {
-  // An empty frame comes each second: three missing ones are a dead connection. Pauses from a restart's hiccup
-  // up to what the rules count as told.
+  // An empty frame comes each second: three missing ones are a dead connection. Pauses from a restart's
+  // hiccup up to what the rules count as told.
   constexpr Sec kSilence = 3, kDial = 1, kFirstPause = 0.05, kLongestPause = 2;
   Event pause_over(scheduler_);
   for (Sec pause = kFirstPause;; pause = std::min(pause * 2, kLongestPause)) {
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -19,8 +19,8 @@
   void follow(const Address& bus, std::uint64_t last);
 
   void list_begin(bool whole) override;
-  void list_member(std::string_view id, const Address& address, int location, int kind, int cell, Listed state,
-                   double weight, Sec started) override;
+  void list_member(std::string_view id, const Address& address, int location, int kind, int cell,
+                   Listed state, double weight, Sec started) override;
   void list_end() override;
   void purged(std::string_view object, Sec at) override;
   void purged_group(std::uint32_t group, Sec at) override;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -10,7 +10,8 @@
 int Log::admit(std::string_view kind) {
   constexpr int kASecond = 5;  // enough to see who is concerned; a lost location has a handful of members
   const Sec second = static_cast<Sec>(
-      std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch()).count());
+      std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch())
+          .count());
   auto it = kinds_.find(kind);
   if (it == kinds_.end()) it = kinds_.emplace(std::string(kind), Kind{}).first;
   auto& k = it->second;
--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -44,8 +44,7 @@
 Scheduler::Scheduler() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
   // The steady clock moves the time on, so that a step of the system's clock moves no timer.
-  unix_less_steady_ =
-      seconds_of<std::chrono::system_clock>() - seconds_of<std::chrono::steady_clock>();
+  unix_less_steady_ = seconds_of<std::chrono::system_clock>() - seconds_of<std::chrono::steady_clock>();
   read_clock();
 }
 
--- a/src/net/scheduler.h
+++ b/src/net/scheduler.h
@@ -74,7 +74,7 @@
   ~Scheduler();
 
   Sec now() const { return now_; }  // Unix time, read once a turn
-  void start(Task task);  // runs it up to its first wait, then goes on with the caller
+  void start(Task task);            // runs it up to its first wait, then goes on with the caller
   void watch(int fd, Watcher& watcher);
   void forget(int fd, Watcher& watcher);
   void at_turns_end(std::function<void()> call) { ends_.push_back(std::move(call)); }
@@ -93,7 +93,7 @@
   Sec now_ = 0, unix_less_steady_ = 0;
   bool stopped_ = false;
   std::multimap<Sec, Event*> timers_;
-  std::deque<Event*> ready_;  // null: dropped since
+  std::deque<Event*> ready_;               // null: dropped since
   std::unordered_map<void*, Task> tasks_;  // by their frames
   std::vector<std::function<void()>> ends_;
   std::vector<Watcher*> told_;  // this turn's; null: forgotten since
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -140,7 +140,8 @@
       close();
     }
   }
-  constexpr std::size_t kKept = 64 * 1024;  // an idle connection's buffer; what is sent is dropped in steps of it
+  constexpr std::size_t kKept =
+      64 * 1024;  // an idle connection's buffer; what is sent is dropped in steps of it
   if (out_from_ == out_.size()) {
     out_.clear(), out_from_ = 0;
     if (out_.capacity() > kKept) out_.shrink_to_fit();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -26,7 +26,8 @@
 
 class Stream;
 
-// What the streams share: those that have something to send at the turn's end, and the room that they read into.
+// What the streams share: those that have something to send at the turn's end, and the room that they read
+// into.
 class Outbox {
  public:
   explicit Outbox(Scheduler& scheduler) : room_(kRoom) {
--- a/src/net/txn.cpp
+++ b/src/net/txn.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 // Down to whole milliseconds; never 0, which means something else.
-std::string whole_ms(Sec time) { return std::to_string(std::max(1L, static_cast<long>(std::floor(time * 1e3)))); }
+std::string whole_ms(Sec time) {
+  return std::to_string(std::max(1L, static_cast<long>(std::floor(time * 1e3))));
+}
 
 std::string fields_of(const Order& o, const Decision& d, const Caches& caches) {
   std::string f = "cls=" + o.rule_name + ",item=" + o.object_text + ",chunk=" + o.part_text;
@@ -49,7 +51,7 @@
     const Sec until = d->time > 0 ? std::min(order.expires, scheduler.now() + d->time) : order.expires;
     Hop hop(scheduler, caches,
             {d->member, d->source, order.id, object, order.group, order.id_text, order.body,
-             fields_of(order, *d, caches), until});
+             fields_of(order, *d, caches), until, until >= order.expires});
     seat.hop_out(&hop);
     while (!hop.ended())
       if (!co_await hop.wait()) hop.time_came();
--- a/src/settings.h
+++ b/src/settings.h
@@ -14,7 +14,9 @@
 std::uint64_t stable_hash(std::string_view text);
 
 // The module's seed is 32 bits; hosts are handed 64.
-constexpr std::uint32_t fold_seed(std::uint64_t seed) { return static_cast<std::uint32_t>(seed ^ (seed >> 32)); }
+constexpr std::uint32_t fold_seed(std::uint64_t seed) {
+  return static_cast<std::uint32_t>(seed ^ (seed >> 32));
+}
 
 // What is absent reads as the value given. Lists of plain values are joined by commas; lists of objects have
 // their length under .count and their items under .0, .1 and so on.
