Tests of the parsers and of the router over sockets

Scripts of bytes go into the parsers whole and one byte at a time; scripts of clients, cache servers and the event bus play against the started program. No endless dialling when no descriptor is left (Caches::dial_for counted only those on their way).

--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -203,7 +203,8 @@
 void Caches::dial_for(int member) {
   auto& p = peer(member);
   const auto wanted = (p.waiting.size() + hops_a_connection_ - 1) / hops_a_connection_;
-  while (p.dialing < wanted && !p.waiting.empty()) scheduler_.start(connection(member));
+  for (auto more = wanted; more > p.dialing && !p.waiting.empty(); --more)
+    scheduler_.start(connection(member));
 }
 
 void Caches::dial_failed(Peer& p, std::string_view why) {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -79,7 +79,7 @@
 }
 
 bool Clients::take_requests(const std::shared_ptr<Client>& client) {
-  constexpr std::size_t kMostWords = 8, kMostBytes = 256 * 1024;  // a write brings up to 48,000 bytes
+  constexpr std::size_t kMostWords = 8, kMostBytes = 64 * 1024;  // a write brings up to 48,000 bytes
   Words words;
   try {
     for (;;) {
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -1,12 +1,31 @@
-// Plays a script of inputs (standard input) into the module and prints its decisions, one a line.
-// A line is a command, words, and key=value pairs; see the .in files. "at T" moves the clock and wakes the
-// module at the times it asked for on the way.
+// Plays a script (standard input) and prints what comes of it, one a line.
+// NAME.in: inputs into the module, and its decisions. A line is a command, words, and key=value pairs; "at T"
+// moves the clock and wakes the module at the times it asked for on the way.
+// NAME.bytes: bytes for the parsers, whole and one at a time.
+// NAME.net: the router as a process, with clients, cache servers and an event bus played by the script.
+#include <arpa/inet.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <set>
 #include <sstream>
 
 #include "brain.h"
+#include "net/config.h"
+#include "net/fd.h"
+#include "net/frames.h"
+#include "net/resp.h"
+#include "text.h"
 
 using namespace walkpaddle;
 
@@ -57,9 +76,337 @@
                                       "joined",       "old_copy",      "source_refused", "source_unreached",
                                       "source_lacks", "no_fill_place", "origin_failed"};
 
+// ---- parsers ---------------------------------------------------------------------------------------------
+
+// "\r", "\n" and "\xHH" in a script stand for those bytes.
+std::string unescaped(const std::string& text) {
+  std::string out;
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    if (text[n] != '\\' || n + 1 == text.size()) {
+      out += text[n];
+    } else if (const char c = text[++n]; c == 'x') {
+      out += static_cast<char>(std::stoi(text.substr(n + 1, 2), nullptr, 16));
+      n += 2;
+    } else {
+      out += c == 'r' ? '\r' : c == 'n' ? '\n' : c;
+    }
+  }
+  return out;
+}
+
+struct PrintedEvents final : net::ListEvents {
+  std::string out;
+  template <class... T>
+  void say(const T&... parts) {
+    std::ostringstream text;
+    ((text << ' ' << parts), ...);
+    out += text.str() + "\n";
+  }
+  void list_begin(bool whole) override { say(whole ? "list" : "changes"); }
+  void list_member(std::string_view id, const net::Address& at, int location, int kind, int cell,
+                   Listed state, double weight, Sec started) override {
+    say(" ", id, net::text_of(at), "location", location, "kind", kind, "cell", cell, "state",
+        static_cast<int>(state), "weight", weight, "started", started);
+  }
+  void list_end() override { say("end"); }
+  void purged(std::string_view object, Sec at) override { say("purged", object, at); }
+  void purged_group(std::uint32_t group, Sec at) override { say("purged group", group, at); }
+};
+
+// Feeds `bytes` in steps; what is taken is printed by `take`, which gives the bytes used.
+template <class F>
+std::string fed(const std::string& bytes, std::size_t step, F&& take) {
+  std::string out, held;
+  try {
+    for (std::size_t at = 0; at < bytes.size(); at += step) {
+      held += bytes.substr(at, step);
+      while (const auto used = take(held, out)) held.erase(0, used);
+    }
+    if (!held.empty()) out += " and " + std::to_string(held.size()) + " bytes of more\n";
+  } catch (const Malformed& e) {
+    out += std::string(" malformed: ") + e.what() + "\n";
+  }
+  return out;
+}
+
+void play_bytes(const std::string& what, const std::string& bytes) {
+  const auto at_step = [&](std::size_t step) {
+    if (what == "resp")
+      return fed(bytes, step, [](const std::string& held, std::string& out) {
+        net::Words w;
+        net::read_words(held, 4, 100, w);
+        for (const auto word : w.words)
+          if (w.used > 0) out.append(" [").append(word).append("]");
+        if (w.used > 0) out += "\n";
+        return w.used;
+      });
+    PrintedEvents events;
+    std::uint64_t last = 2;
+    auto out = fed(bytes, step, [&](const std::string& held, std::string& text) {
+      const auto used = net::read_frame(held, last, events);
+      text += std::exchange(events.out, "");
+      return used;
+    });
+    return out + " last " + std::to_string(last) + "\n";
+  };
+  const auto whole = at_step(bytes.size());
+  std::printf("%s", whole.c_str());
+  if (at_step(1) != whole) std::printf(" one byte at a time it differs:\n%s", at_step(1).c_str());
+}
+
+void play_config(const std::string& text) {
+  try {
+    const auto c = net::parse_config(text);
+    std::printf(" %s on %s, first class %s\n", c.name.c_str(), net::text_of(c.listen).c_str(),
+                net::rule_names(c.settings).front().c_str());
+  } catch (const Malformed& e) {
+    std::printf(" malformed: %s\n", std::string(e.what()).substr(0, 70).c_str());
+  }
+}
+
+// ---- the router over sockets -----------------------------------------------------------------------------
+
+struct Conn {
+  net::Fd fd;
+  std::string held;
+};
+
+// Clients, cache servers and the bus are played by the script, in its order; all waits are for what must
+// come.
+class Stage {
+ public:
+  ~Stage() {
+    if (router_ > 0) ::kill(router_, SIGKILL), ::waitpid(router_, nullptr, 0);
+    if (!folder_.empty()) std::filesystem::remove_all(folder_);
+  }
+  bool play(const std::string& text) {
+    std::istringstream in(text);
+    std::vector<std::string> w;
+    for (std::string word; in >> word;) w.push_back(word);
+    const auto& what = w[0];
+    if (what == "router") return start(w.size() > 1 ? text.substr(7) : ""), true;
+    if (what == "client") return clients_[w[1]] = {connect_to(port_), ""}, true;
+    if (what == "send") return send(clients_[w[1]], net_words({w.begin() + 2, w.end()})), true;
+    if (what == "bytes")
+      return send(clients_[w[1]], unescaped(text.substr(text.find(w[1]) + w[1].size() + 1))), true;
+    if (what == "gets")
+      return std::printf("%s gets %s\n", w[1].c_str(), next_of(clients_[w[1]]).c_str()), true;
+    if (what == "leaves") return clients_.erase(w[1]), true;
+    if (what == "asked") return asked(w[1]), true;
+    if (what == "says") return says(w), true;
+    if (what == "closes") return servers_[w[1]].conns.clear(), true;
+    if (what == "refuses") return servers_[w[1]].conns.clear(), void(servers_[w[1]].fd = net::Fd()), true;
+    if (what == "bus") return bus(w), true;
+    if (what == "wait") return ::usleep(static_cast<useconds_t>(std::stod(w[1]) * 1e6)), true;
+    if (what == "term") return ::kill(router_, SIGTERM), true;
+    if (what == "exit") return exited(), true;
+    return false;
+  }
+
+ private:
+  struct Server {
+    net::Fd fd;
+    int port = 0;
+    std::vector<Conn> conns;
+    std::size_t last = 0;  // the connection of the last request
+    std::string id;        // and its id
+  };
+
+  static std::string net_words(const std::vector<std::string>& words) {
+    auto text = "*" + std::to_string(words.size()) + "\r\n";
+    for (const auto& w : words) text += net::words_text({w == "-" ? "" : w}).substr(4);
+    return text;
+  }
+
+  static net::Fd listen_at(int& port) {
+    net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof a;
+    if (::bind(fd.get(), reinterpret_cast<sockaddr*>(&a), size) != 0 || ::listen(fd.get(), 16) != 0)
+      fail("listen");
+    ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&a), &size);
+    port = ntohs(a.sin_port);
+    return fd;
+  }
+
+  static net::Fd connect_to(int port) {
+    for (int n = 0; n < 500; ++n, ::usleep(10000)) {
+      net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+      sockaddr_in a{};
+      a.sin_family = AF_INET;
+      a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      a.sin_port = htons(static_cast<std::uint16_t>(port));
+      if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) == 0) return fd;
+    }
+    fail("connect");
+  }
+
+  [[noreturn]] static void fail(const std::string& what) {
+    std::printf("no %s\n", what.c_str());
+    std::fflush(stdout);
+    throw std::runtime_error("no " + what);
+  }
+
+  static void send(const Conn& c, const std::string& bytes) {
+    if (::send(c.fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) std::printf("not sent\n");
+  }
+
+  static bool readable(int fd, int ms) {
+    pollfd p{fd, POLLIN, 0};
+    return ::poll(&p, 1, ms) > 0;
+  }
+
+  // Takes a whole array off the connection; "closed" at its end.
+  static std::string next_of(Conn& c, int ms = 10000) {
+    for (;;) {
+      net::Words words;
+      net::read_words(c.held, 8, 1 << 20, words);
+      if (words.used > 0) {
+        std::string text;
+        for (const auto w : words.words) text.append(text.empty() ? "" : " ").append(w.empty() ? "-" : w);
+        c.held.erase(0, words.used);
+        return text;
+      }
+      if (!readable(c.fd.get(), ms)) return "nothing";
+      char room[65536];
+      const auto got = ::recv(c.fd.get(), room, sizeof room, 0);
+      if (got <= 0) return "closed";
+      c.held.append(room, static_cast<std::size_t>(got));
+    }
+  }
+
+  // The next request that reaches a server, on whichever connection, less the values that vary.
+  void asked(const std::string& name) {
+    auto& s = servers_[name];
+    for (int n = 0; n < 5000; ++n, ::usleep(2000)) {
+      if (readable(s.fd.get(), 0)) s.conns.push_back({net::Fd(::accept(s.fd.get(), nullptr, nullptr)), ""});
+      for (s.last = 0; s.last < s.conns.size(); ++s.last) {
+        auto text = next_of(s.conns[s.last], 0);
+        if (text == "nothing" || text == "closed") continue;
+        s.id = text.substr(text.find(' ') + 1, 16);
+        for (const std::string varies : {"limit=", "maxage="})
+          if (auto at = text.find(varies); at != std::string::npos) {
+            at += varies.size();
+            text.replace(at, text.find_first_of(", ", at) - at, "?");
+          }
+        for (const auto& [other, server] : servers_)
+          for (auto at = text.find(server_id(other)); at != std::string::npos;
+               at = text.find(server_id(other)))
+            text.replace(at, 10, other);
+        std::printf("%s is asked %s\n", name.c_str(), text.c_str());
+        return;
+      }
+    }
+    fail("request at " + name);
+  }
+
+  void says(const std::vector<std::string>& w) {
+    auto& s = servers_[w[1]];
+    std::vector<std::string> words{s.id};
+    words.insert(words.end(), w.begin() + 2, w.end());
+    send(s.conns[s.last], net_words(words));
+  }
+
+  static std::string server_id(const std::string& name) {
+    return "s-000000" + std::string(name == "c1" ? "c1" : name == "c2" ? "c2" : name == "par" ? "aa" : "0f");
+  }
+
+  static std::string big_end(std::uint64_t value, int bytes) {
+    std::string text;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) text += static_cast<char>(value >> shift & 255);
+    return text;
+  }
+
+  // bus up | down | takes | drains NAME | purges OBJECT | bytes ...
+  void bus(const std::vector<std::string>& w) {
+    if (w[1] == "up") {
+      if (!readable(bus_.fd.get(), 10000)) fail("router at the bus");
+      bus_.conns.clear();
+      bus_.conns.push_back({net::Fd(::accept(bus_.fd.get(), nullptr, nullptr)), ""});
+      char hello[8];
+      if (::recv(bus_.conns[0].fd.get(), hello, 8, MSG_WAITALL) != 8) fail("hello");
+      std::printf("bus is asked from event %d\n", hello[7]);
+    } else if (w[1] == "down") {
+      bus_.conns.clear();
+    } else if (w[1] == "drains") {
+      auto& s = servers_[w[2]];
+      const auto id = std::stoul(server_id(w[2]).substr(2), nullptr, 16);
+      frame(2, big_end(id, 4) + big_end(INADDR_LOOPBACK, 4) + big_end(static_cast<unsigned>(s.port), 2) +
+                   big_end(1, 1) + big_end(1, 1) + big_end(0, 1) + big_end(0, 2) + big_end(1000, 4) +
+                   big_end(0, 8));
+    } else if (w[1] == "purges") {
+      const auto now = std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1);
+      frame(3, big_end(std::stoull(w[2], nullptr, 16), 8) + big_end(static_cast<std::uint64_t>(now), 8));
+    } else {
+      send(bus_.conns[0], unescaped(w[2]));
+    }
+  }
+  void frame(int kind, const std::string& payload) {
+    send(bus_.conns[0], big_end(9 + payload.size(), 4) + big_end(static_cast<std::uint64_t>(++event_), 8) +
+                            big_end(static_cast<unsigned>(kind), 1) + payload);
+  }
+
+  std::string member_text(const std::string& name, const char* where, const char* kind) {
+    auto& s = servers_[name];
+    s.fd = listen_at(s.port);
+    return R"({"id":")" + server_id(name) + R"(","host_port":"127.0.0.1:)" + std::to_string(s.port) +
+           R"(","locality":")" + where + R"(","flavor":")" + kind +
+           R"(","cell":0,"phase":"ready","size":1,"up_since_ms":0})";
+  }
+
+  void start(const std::string& caches) {
+    std::string list, names = caches.empty() ? "c1" : caches;
+    std::istringstream in(names);
+    for (std::string name; in >> name;) list += member_text(name, "edge", "cache") + ",";
+    list += member_text("par", "hub", "parent") + "," + member_text("origin", "hub", "origin");
+    bus_.fd = listen_at(bus_.port);
+    { const auto free = listen_at(port_); }
+    std::string config =
+        R"({"name":"n0","seed":"7","listen":"127.0.0.1:)" + std::to_string(port_) + R"(","bus":"127.0.0.1:)" +
+        std::to_string(bus_.port) +
+        R"(","known":{"offset":1,"batch":[{"offset":1,"topology":{"complete":true,"members":[)" + list +
+        R"(]}}]},"settings":{"allowed":{"cancel":true,"dial_timeout":2000,"idle_close":15000,
+      "max_attempts":4,"max_retry_after":500,"retry_after":true,"streams_per_conn":32},"categories":[
+      {"name":"page","aim":3000,"aim_stretch":2,"deadline":9000,"effect":"free","gain":1},
+      {"name":"order","aim":3000,"deadline":9000,"effect":"single_shot","gain":3}],
+      "failure_domains":["hub","edge"],"models":["cache","parent","origin"],"fleet_size":1,"locality":1,
+      "rules":{"cold_from":0.2,"fall_multiple":4,"warm_after":17000,"overload_for":1000},"specifics":{
+      "class_fresh":[0,0],"client_kb_per_s":6000,"direct":true,"in_parts":[false,false],"merges_fills":true,
+      "notes_given":"all","origin_kind":2,"second_tier_kind":1,"pass_on":[false,true],"peers_fill":"location",
+      "purge_settles":6000,"seats_by_zone":[0,1],"upper_cold_from":0.1,"upper_fall_multiple":2,
+      "parent_warms_in":20000},"tick":1}})";
+    folder_ = std::filesystem::temp_directory_path() / ("walkpaddle-" + std::to_string(::getpid()));
+    std::filesystem::create_directory(folder_);
+    std::ofstream(folder_ / "config.json") << config;
+    router_ = ::fork();
+    if (router_ == 0) {
+      ::setenv("LB_CONFIG", (folder_ / "config.json").c_str(), 1);
+      ::unsetenv("LB_LISTEN");
+      const auto* program = std::getenv("WALKPADDLE");
+      ::execl(program, program, nullptr);
+      ::_exit(127);
+    }
+  }
+
+  void exited() {
+    int status = 0;
+    ::waitpid(std::exchange(router_, -1), &status, 0);
+    std::printf("router exits with %d\n", WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status));
+  }
+
+  pid_t router_ = -1;
+  int port_ = 0, event_ = 1;
+  std::filesystem::path folder_;
+  std::map<std::string, Conn> clients_;
+  std::map<std::string, Server> servers_;
+  Server bus_;
+};
+
 }  // namespace
 
-int main() {
+int main() try {
   const auto owned = make_brain(7);
   auto& brain = *owned;
   Sec now = 1000;
@@ -100,6 +447,7 @@
           static_cast<Listed>(l.pick("is", {"gone", "ready", "draining"}) + (l.pairs.count("is") ? 0 : 1)),
           l.num("weight", 1), l.pairs.count("age") ? now - l.num("age") : 0);
   };
+  Stage stage;
   brain.clock(now);
   for (std::string text; std::getline(std::cin, text);) {
     const Line l(text);
@@ -107,6 +455,15 @@
     const auto& what = l.words[0];
     if (what == "#") {
       std::printf("%s\n", text.c_str());
+    } else if (what == "resp" || what == "frames") {
+      play_bytes(what, unescaped(text.substr(what.size() + 1)));
+      continue;
+    } else if (what == "config") {
+      play_config(text.substr(7));
+      continue;
+    } else if (stage.play(text)) {
+      std::fflush(stdout);
+      continue;
     } else if (what == "setup") {
       brain.set_place({0, static_cast<int>(l.num("seats", 1)), static_cast<int>(l.num("routers", 2))});
       brain.set_roles({8, 9, l.num("direct", 1) > 0});
@@ -170,4 +527,6 @@
     }
     pull();
   }
+} catch (const std::exception&) {
+  return 1;  // what was missing is in the trace
 }
