No await inside a condition; the listener outlives its waiting task

Seen: the address sanitizer's build died at Desk::keep_time's first step, and valgrind found its frame read before it was set, in the release build too: GCC 12 mishandles a temporary awaited in an if's condition that leads to continue. Each task now names what an await gave. Then the sanitizer found Clients::stop_accepting dropping the listener under the task that waits at it. Ruled out: the scheduler (same under valgrind with other tasks), the module.

--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -250,8 +250,9 @@
       place(p);
       continue;
     }
-    if (co_await c.stream.readable(c.live > 0 ? kNoTime : std::max(c.used + idle_, scheduler_.now() + 0.1)))
-      continue;
+    const Sec until = c.live > 0 ? kNoTime : std::max(c.used + idle_, scheduler_.now() + 0.1);
+    const bool told = co_await c.stream.readable(until);
+    if (told) continue;
     if (c.live == 0 && scheduler_.now() >= c.used + idle_) {
       why = "";
       break;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -25,7 +25,9 @@
   scheduler.watch(fd.get(), *this);
 }
 
-Clients::Listener::~Listener() { scheduler.forget(fd.get(), *this); }
+Clients::Listener::~Listener() {
+  if (fd) scheduler.forget(fd.get(), *this);
+}
 
 Clients::Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen,
                  std::vector<std::string> rule_names, Serve serve)
@@ -41,7 +43,7 @@
 
 Task Clients::accept_all() {
   constexpr Sec kPause = 0.1;  // without descriptors left: until some connections may have closed
-  for (;;) {
+  while (listener_->fd) {
     Fd fd(::accept4(listener_->fd.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd) {
       auto client = std::make_shared<Client>(scheduler_, outbox_, std::move(fd));
@@ -148,7 +150,11 @@
   return o;
 }
 
-void Clients::stop_accepting() { listener_.reset(); }
+void Clients::stop_accepting() {
+  scheduler_.forget(listener_->fd.get(), *listener_);
+  listener_->fd = Fd();
+  listener_->came.set();
+}
 
 void Clients::close_idle() {
   for (const auto& [client, held] : clients_)
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -53,7 +53,8 @@
 
 Task Desk::keep_time() {
   for (;;) {
-    if (co_await wake_.wait(wake_at_)) continue;  // another time was asked for
+    const bool asked_anew = co_await wake_.wait(wake_at_);
+    if (asked_anew) continue;
     wake_at_ = kNoTime;
     input().woken();
   }
--- a/src/net/fd.h
+++ b/src/net/fd.h
@@ -12,7 +12,7 @@
   explicit Fd(int fd) : fd_(fd) {}
   Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
   Fd& operator=(Fd&& other) noexcept {
-    std::swap(fd_, other.fd_);
+    if (const Fd old(std::exchange(fd_, -1)); this != &other) fd_ = std::exchange(other.fd_, -1);
     return *this;
   }
   ~Fd() {
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -58,7 +58,8 @@
             why = "a frame that cannot be read";
             break;
           }
-          if (co_await stream.readable(scheduler_.now() + kSilence)) continue;
+          const bool told = co_await stream.readable(scheduler_.now() + kSilence);
+          if (told) continue;
           why = "silent";
           break;
         }
--- a/src/net/task.h
+++ b/src/net/task.h
@@ -26,6 +26,7 @@
   ~Task() {
     if (handle_) handle_.destroy();
   }
+  // GCC 12 leaves part of the frame unset where a condition awaits: a task names what an await gives first.
   std::coroutine_handle<> handle() const { return handle_; }
 
  private:
--- a/src/net/txn.cpp
+++ b/src/net/txn.cpp
@@ -53,8 +53,10 @@
             {d->member, d->source, order.id, object, order.group, order.id_text, order.body,
              fields_of(order, *d, caches), until, until >= order.expires});
     seat.hop_out(&hop);
-    while (!hop.ended())
-      if (!co_await hop.wait()) hop.time_came();
+    while (!hop.ended()) {
+      const bool told = co_await hop.wait();
+      if (!told) hop.time_came();
+    }
     const auto& end = hop.end();
     const bool completed = end.verdict == Verdict::completed && !seat.left();
     if (completed) give(*client, order, end);
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -306,6 +306,7 @@
     auto& s = servers_[w[1]];
     std::vector<std::string> words{s.id};
     words.insert(words.end(), w.begin() + 2, w.end());
+    if (s.last >= s.conns.size()) fail("connection at " + w[1]);
     send(s.conns[s.last], net_words(words));
   }
 
