At the end of a drain each open txn is answered and its hop cancelled

Seen by reading: tasks are dropped in no order, so a connection could go before the hop that points at it, and a txn open past the longest time limit got no answer. The socket test holds both.

--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -224,9 +224,14 @@
   Connection c(scheduler_, outbox_, std::move(fd));
   struct Place {
     Peer& peer;
+    Connection& connection;
     std::list<Connection*>::iterator at;
-    ~Place() { peer.connections.erase(at); }
-  } place_in_list{p, p.connections.insert(p.connections.end(), &c)};
+    ~Place() {  // also when the task is dropped before those of its hops
+      for (const auto& [id, hop] : connection.open)
+        if (hop != nullptr) hop->over_ = nullptr;
+      peer.connections.erase(at);
+    }
+  } place_in_list{p, c, p.connections.insert(p.connections.end(), &c)};
   ++p.dialing;
   const bool in_time = co_await c.stream.writable(scheduler_.now() + dial_within_);
   --p.dialing;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -156,6 +156,14 @@
   listener_->came.set();
 }
 
+void Clients::abort_open() {
+  for (const auto& [client, held] : clients_)
+    for (const auto& [tag, seat] : std::exchange(client->open_, {})) {
+      client->answer(tag, "ABORTED");
+      seat->leave();
+    }
+}
+
 void Clients::close_idle() {
   for (const auto& [client, held] : clients_)
     if (client->open_.empty() && client->stream_.unsent() == 0) client->stream_.end_writing();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -49,6 +49,7 @@
   void set_word(std::string_view alive) { alive_ = alive; }  // what ALIVE is answered with
   void stop_accepting();
   void close_idle();
+  void abort_open();  // the program ends: one answer for each txn that still waits
   std::size_t count() const { return clients_.size(); }
 
  private:
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -90,6 +90,8 @@
 
   enter(Phase::stopped);
   clients_.stop_accepting();
+  clients_.abort_open();
+  co_await look.wait(scheduler_.now() + kLook);
   clients_.close_idle();
   co_await look.wait(scheduler_.now() + kLook);
   scheduler_.stop();
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -370,8 +370,8 @@
         R"(","known":{"offset":1,"batch":[{"offset":1,"topology":{"complete":true,"members":[)" + list +
         R"(]}}]},"settings":{"allowed":{"cancel":true,"dial_timeout":2000,"idle_close":15000,
       "max_attempts":4,"max_retry_after":500,"retry_after":true,"streams_per_conn":32},"categories":[
-      {"name":"page","aim":3000,"aim_stretch":2,"deadline":9000,"effect":"free","gain":1},
-      {"name":"order","aim":3000,"deadline":9000,"effect":"single_shot","gain":3}],
+      {"name":"page","aim":3000,"aim_stretch":2,"deadline":2000,"effect":"free","gain":1},
+      {"name":"order","aim":3000,"deadline":2000,"effect":"single_shot","gain":3}],
       "failure_domains":["hub","edge"],"models":["cache","parent","origin"],"fleet_size":1,"locality":1,
       "rules":{"cold_from":0.2,"fall_multiple":4,"warm_after":17000,"overload_for":1000},"specifics":{
       "class_fresh":[0,0],"client_kb_per_s":6000,"direct":true,"in_parts":[false,false],"merges_fills":true,
