SIGHUP moves the event bus instead of ending the program; stops end before the kill

Checked: the program blocked and read only SIGTERM and SIGINT (Router::Signals); the drain's last moment was 0.8 s past the longest time limit, later than the kill 0.7 s past it (Router::live); a silent bus was left after 3 s and up to 2 s of pause, past 4 s, and any byte counted as a sign of life, so a frame that trickles never ended (List::follow_all).

Tests reload and restart fail without the change.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,13 +15,18 @@
   try {
     const char* path = std::getenv("LB_CONFIG");
     if (path == nullptr) throw walkpaddle::Malformed("LB_CONFIG is not set");
-    std::ifstream file(path);
-    std::stringstream text;
-    if (!(text << file.rdbuf())) throw walkpaddle::Malformed(std::string("cannot read ") + path);
-    auto config = walkpaddle::net::parse_config(text.str());
-    if (const char* listen = std::getenv("LB_LISTEN")) config.listen = walkpaddle::net::parse_address(listen);
+    const auto read = [path] {
+      std::ifstream file(path);
+      std::stringstream text;
+      if (!(text << file.rdbuf())) throw walkpaddle::Malformed(std::string("cannot read ") + path);
+      auto config = walkpaddle::net::parse_config(text.str());
+      if (const char* listen = std::getenv("LB_LISTEN"))
+        config.listen = walkpaddle::net::parse_address(listen);
+      return config;
+    };
+    auto config = read();
     walkpaddle::net::Log log(config.name);
-    walkpaddle::net::Router(std::move(config), log).run();
+    walkpaddle::net::Router(std::move(config), read, log).run();
     return 0;
   } catch (const std::exception& e) {
     fmt::print(stderr, "walkpaddle: {}\n", e.what());
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include "text.h"
 
@@ -30,36 +31,47 @@
   desk_.input().purged_group(group, std::max(0.0, scheduler_.now() - at));
 }
 
-void List::follow(const Address& bus, std::uint64_t last) {
-  last_ = last;
-  scheduler_.start(follow_all(bus));
+void List::follow(const Address& bus) {
+  bus_ = bus;
+  if (!std::exchange(following_, true)) return scheduler_.start(follow_all());
+  moved_ = true;
+  if (stream_ != nullptr) stream_->close();
+  pause_over_.set();
 }
 
-Task List::follow_all(Address bus) {
-  // An empty frame comes each second: three missing ones are a dead connection. Pauses from a restart's
-  // hiccup up to what the rules count as told.
-  constexpr Sec kSilence = 3, kDial = 1, kFirstPause = 0.05, kLongestPause = 2;
-  Event pause_over(scheduler_);
+Task List::follow_all() {
+  // What breaks off counts as told 2 s later, what falls silent 4 s later: the pauses stay well under the
+  // one, and one empty frame of each second that is missing, with a dial, under the other. The time runs from
+  // the last whole frame, so that one that trickles or stops midway is silence too.
+  constexpr Sec kSilence = 2.2, kDial = 0.5, kFirstPause = 0.05, kLongestPause = 0.4;
   for (Sec pause = kFirstPause;; pause = std::min(pause * 2, kLongestPause)) {
     std::string why = "closed";
-    if (Fd fd = dial(bus)) {
+    if (Fd fd = dial(bus_)) {
       Stream stream(scheduler_, outbox_, std::move(fd));
+      struct InUse {
+        List& list;
+        ~InUse() { list.stream_ = nullptr; }
+      } in_use{*this};
+      stream_ = &stream;
       const bool in_time = co_await stream.writable(scheduler_.now() + kDial);
       if (const int error = stream.error(); !in_time || error != 0) {
         why = in_time ? std::strerror(error) : "not up in time";
       } else {
         stream.write(hello_text(last_));
-        for (;;) {
+        for (Sec whole_at = scheduler_.now();;) {
           const auto came = stream.read();
           if (came == Stream::Came::end) break;
           if (came == Stream::Came::bytes) {
-            pause = kFirstPause;
-            if (take_frames(stream)) continue;
-            why = "a frame that cannot be read";
-            break;
+            const auto before = stream.in().size();
+            if (!take_frames(stream)) {
+              why = "a frame that cannot be read";
+              break;
+            }
+            if (stream.in().size() < before) pause = kFirstPause, whole_at = scheduler_.now();
+            continue;
           }
-          const bool told = co_await stream.readable(scheduler_.now() + kSilence);
-          if (told) continue;
+          const bool told = co_await stream.readable(whole_at + kSilence);
+          if (told && scheduler_.now() < whole_at + kSilence) continue;
           why = "silent";
           break;
         }
@@ -67,14 +79,22 @@
     } else {
       why = std::strerror(errno);
     }
-    log_("bus", "{}: {}, event {} is the last; again in {:.2f} s", text_of(bus), why, last_, pause);
-    co_await pause_over.wait(scheduler_.now() + pause);
+    if (std::exchange(moved_, false)) {
+      pause = kFirstPause / 2;  // the next is the first again
+      continue;
+    }
+    log_("bus", "{}: {}, event {} is the last; again in {:.2f} s", text_of(bus_), why, last_, pause);
+    co_await pause_over_.wait(scheduler_.now() + pause);
+    moved_ = false;
   }
 }
 
 bool List::take_frames(Stream& stream) {
   try {
-    while (const auto used = read_frame(stream.in(), last_, *this)) stream.consume(used);
+    for (auto before = last_; const auto used = read_frame(stream.in(), last_, *this); before = last_) {
+      stream.consume(used);
+      if (last_ > before + 1) log_("bus", "events {} to {} never came", before + 1, last_ - 1);
+    }
     return true;
   } catch (const Malformed& e) {
     log_("bus", "{}", e.what());
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -14,9 +14,10 @@
 class List final : public ListEvents {
  public:
   List(Scheduler& scheduler, Outbox& outbox, Log& log, Desk& desk, Caches& caches)
-      : scheduler_(scheduler), outbox_(outbox), log_(log), desk_(desk), caches_(caches) {}
+      : scheduler_(scheduler), outbox_(outbox), log_(log), desk_(desk), caches_(caches), pause_over_(scheduler) {}
 
-  void follow(const Address& bus, std::uint64_t last);
+  void held(std::uint64_t last) { last_ = last; }
+  void follow(const Address& bus);  // from the last event held; a second call moves to another address
 
   void list_begin(bool whole) override;
   void list_member(std::string_view id, const Address& address, int location, int kind, int cell,
@@ -26,7 +27,7 @@
   void purged_group(std::uint32_t group, Sec at) override;
 
  private:
-  Task follow_all(Address bus);
+  Task follow_all();
   bool take_frames(Stream& stream);
 
   Scheduler& scheduler_;
@@ -35,6 +36,10 @@
   Desk& desk_;
   Caches& caches_;
   std::uint64_t last_ = 0;
+  Address bus_;
+  bool following_ = false, moved_ = false;
+  Stream* stream_ = nullptr;  // the connection in use, if there is one
+  Event pause_over_;
 };
 
 }  // namespace walkpaddle::net
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -27,6 +27,7 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   sigprocmask(SIG_BLOCK, &set, nullptr);
   fd = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
@@ -35,14 +36,15 @@
 
 Router::Signals::~Signals() { scheduler.forget(fd.get(), *this); }
 
-bool Router::Signals::take() {
+int Router::Signals::take() {
   signalfd_siginfo info;
-  return ::read(fd.get(), &info, sizeof info) == sizeof info;
+  return ::read(fd.get(), &info, sizeof info) == sizeof info ? static_cast<int>(info.ssi_signo) : 0;
 }
 
-Router::Router(Config config, Log& log)
+Router::Router(Config config, std::function<Config()> read_again, Log& log)
     : log_(log),
       config_(std::move(config)),
+      read_again_(std::move(read_again)),
       signals_(scheduler_),
       desk_(scheduler_, fold_seed(config_.seed), config_.settings),
       outbox_(scheduler_),
@@ -72,18 +74,37 @@
        desk_.txns_open());
 }
 
+// What may change while txns are open is where the event bus is; all else needs a restart.
+void Router::reload() {
+  try {
+    const auto fresh = read_again_();
+    log_("reload", "event bus {}", fresh.has_bus ? text_of(fresh.bus) : "none");
+    if (fresh.has_bus) list_.follow(fresh.bus);
+  } catch (const std::exception& e) {
+    log_("reload", "kept as it was: {}", e.what());
+  }
+}
+
 Task Router::live() {
   enter(Phase::starting);
-  const auto last = hand_known(config_.known, config_.settings, list_);
-  if (config_.has_bus) list_.follow(config_.bus, last);
+  list_.held(hand_known(config_.known, config_.settings, list_));
+  if (config_.has_bus) list_.follow(config_.bus);
 
   enter(Phase::serving);
-  while (!signals_.take()) co_await signals_.came.wait();
-
-  // Clients that have not heard yet still come, for most of a second; those that are open have their time.
-  constexpr Sec kComing = 0.8, kLook = 0.02;
+  for (;;) {
+    const int signal = signals_.take();
+    if (signal == SIGHUP) reload();
+    if (signal == SIGTERM || signal == SIGINT) break;
+    if (signal == 0) co_await signals_.came.wait();
+  }
+
+  // Clients that have not heard yet still come, for most of a second; those that are open have their time, as
+  // far as the platform gives it: it kills after the longest time limit, counted as kMost at most, and kKill.
+  // What is open then is answered kSpare before; further signals change nothing.
+  constexpr Sec kComing = 0.8, kLook = 0.02, kMost = 3, kKill = 0.7, kSpare = 0.1;
   enter(Phase::draining);
-  const Sec asked = scheduler_.now(), last_end = asked + kComing + longest_time_limit(config_.settings);
+  const Sec asked = scheduler_.now(),
+            last_end = asked + std::min(longest_time_limit(config_.settings), kMost) + kKill - kSpare;
   Event look(scheduler_);
   while (scheduler_.now() < last_end && (scheduler_.now() < asked + kComing || desk_.txns_open() > 0))
     co_await look.wait(scheduler_.now() + kLook);
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -1,6 +1,8 @@
 // The router: its parts and its phases, from start to exit.
 #pragma once
 
+#include <functional>
+
 #include "net/caches.h"
 #include "net/clients.h"
 #include "net/config.h"
@@ -12,7 +14,8 @@
 
 class Router {
  public:
-  Router(Config config, Log& log);
+  // `read_again` gives the configuration as it now stands, or is Malformed.
+  Router(Config config, std::function<Config()> read_again, Log& log);
   ~Router();
   void run();  // returns once stopped
 
@@ -22,17 +25,19 @@
     explicit Signals(Scheduler& scheduler);
     ~Signals();
     void on_ready(std::uint32_t) override { came.set(); }
-    bool take();
+    int take();  // the next that came, 0 for none
     Scheduler& scheduler;
     Fd fd;
     Event came;
   };
 
   void enter(Phase phase);
+  void reload();
   Task live();
 
   Log& log_;
   const Config config_;
+  const std::function<Config()> read_again_;
   Phase phase_ = Phase::starting;
   Scheduler scheduler_;
   Signals signals_;
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -199,6 +199,7 @@
     if (what == "bus") return bus(w), true;
     if (what == "wait") return ::usleep(static_cast<useconds_t>(std::stod(w[1]) * 1e6)), true;
     if (what == "term") return ::kill(router_, SIGTERM), true;
+    if (what == "reload") return reload(text.substr(6)), true;
     if (what == "exit") return exited(), true;
     return false;
   }
@@ -364,7 +365,7 @@
     list += member_text("par", "hub", "parent") + "," + member_text("origin", "hub", "origin");
     bus_.fd = listen_at(bus_.port);
     { const auto free = listen_at(port_); }
-    std::string config =
+    config_ =
         R"({"name":"n0","seed":"7","listen":"127.0.0.1:)" + std::to_string(port_) + R"(","bus":"127.0.0.1:)" +
         std::to_string(bus_.port) +
         R"(","known":{"offset":1,"batch":[{"offset":1,"topology":{"complete":true,"members":[)" + list +
@@ -380,7 +381,7 @@
       "parent_warms_in":20000},"tick":1}})";
     folder_ = std::filesystem::temp_directory_path() / ("walkpaddle-" + std::to_string(::getpid()));
     std::filesystem::create_directory(folder_);
-    std::ofstream(folder_ / "config.json") << config;
+    std::ofstream(folder_ / "config.json") << config_;
     router_ = ::fork();
     if (router_ == 0) {
       ::setenv("LB_CONFIG", (folder_ / "config.json").c_str(), 1);
@@ -391,6 +392,19 @@
     }
   }
 
+  // The bus opens at another address; the file names it, or holds what is given instead.
+  void reload(const std::string& instead) {
+    if (instead.empty()) {
+      old_bus_ = std::exchange(bus_, {});
+      bus_.fd = listen_at(bus_.port);
+      const auto from = "\"bus\":\"127.0.0.1:" + std::to_string(old_bus_.port);
+      const auto at = config_.find(from);
+      config_.replace(at, from.size(), "\"bus\":\"127.0.0.1:" + std::to_string(bus_.port));
+    }
+    std::ofstream(folder_ / "config.json") << (instead.empty() ? config_ : instead);
+    ::kill(router_, SIGHUP);
+  }
+
   void exited() {
     int status = 0;
     ::waitpid(std::exchange(router_, -1), &status, 0);
@@ -402,7 +416,8 @@
   std::filesystem::path folder_;
   std::map<std::string, Conn> clients_;
   std::map<std::string, Server> servers_;
-  Server bus_;
+  Server bus_, old_bus_;
+  std::string config_;
 };
 
 }  // namespace
