Descriptors by budget, idle clients make room, hops spread over connections

At fault: Clients::accept_all (no bound), Caches::dial_for (EMFILE as no connection), Caches::place (first connection with room), blame (one broken connection as hard as a refusal). Also: a field error past the fields looked for first left a hop on a connection that ended; a partial answer counted as a sign of life; entries of cancelled hops stayed.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -763,7 +763,8 @@
       return;
     }
     x.unreached = x.unreached || v == Verdict::no_connection;
-    went_wrong(h.member, v != Verdict::error);
+    // One broken connection proves little: a reset or a spoilt answer, where a death breaks many at once.
+    went_wrong(h.member, v != Verdict::error && v != Verdict::broken);
   }
 
   // ---- the host's pulls --------------------------------------------------------------------------------
--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -16,6 +16,7 @@
   bool up = false;
   bool silent = false;  // a hop timed out with nothing heard since it was written: no new ones
   std::unordered_map<std::uint64_t, Hop*> open;  // null: given up, an answer may still cross
+  std::deque<std::uint64_t> given_up;            // the latest of these, oldest first
   std::size_t live = 0;                          // those not given up
   Sec heard = 0, used = 0;
 };
@@ -26,6 +27,7 @@
   Listed state = Listed::gone;
   std::list<Connection*> connections;  // they live in their tasks
   std::size_t dialing = 0;
+  bool wants_descriptors = false;  // its dial waits for one: our own want, no sign of its health
   Sec quickest = 0.05;  // least time from a hop to its answer; at first more than any way between machines
   std::deque<Hop*> waiting;
 };
@@ -62,7 +64,7 @@
   }
   if (state_ == State::waiting && now >= started_ + caches_.dial_within_) {
     caches_.give_up(*this);
-    return finish(Verdict::no_connection);
+    return finish(caches_.peer(what_.member).wants_descriptors ? Verdict::not_sent : Verdict::no_connection);
   }
   if ((state_ == State::waiting || state_ == State::written) && now >= what_.until)
     settle(Verdict::timed_out);
@@ -95,11 +97,12 @@
   event_.set();  // its task waits for another time now
 }
 
-Caches::Caches(Scheduler& scheduler, Outbox& outbox, Log& log, int hops_a_connection, Sec dial_within,
-               Sec closed_when_idle, bool cancels)
+Caches::Caches(Scheduler& scheduler, Outbox& outbox, Log& log, std::size_t most_connections,
+               int hops_a_connection, Sec dial_within, Sec closed_when_idle, bool cancels)
     : scheduler_(scheduler),
       outbox_(outbox),
       log_(log),
+      most_connections_(most_connections),
       hops_a_connection_(std::max(1, hops_a_connection)),
       dial_within_(dial_within),
       idle_(closed_when_idle * 0.6),  // well before the other side, so that no hop crosses its close
@@ -127,8 +130,11 @@
 
 void Caches::told(int member, const Address& address, Listed state) {
   auto& p = peer(member);
-  if (p.address != address)  // what runs goes on; new hops use new connections
-    for (auto* c : p.connections) c->silent = true;
+  if (p.address != address || state == Listed::gone)  // what runs goes on; new hops use new connections
+    for (auto* c : p.connections) {
+      c->silent = true;
+      if (c->up && c->live == 0) c->stream.close();
+    }
   p.address = address;
   p.state = state;
   if (state != Listed::ready)
@@ -150,20 +156,28 @@
   if (!hop.ended() && hop.state_ == Hop::State::waiting) dial_for(hop.what_.member);
 }
 
-// Gives waiting hops to the connections that have room; the first with room, so that few are kept.
+// Gives waiting hops to the connections that have room, to the one with the fewest. Where that has some
+// already, another is dialled for those to come: what spoils one answer costs all that share its connection.
 void Caches::place(Peer& p) {
+  constexpr std::size_t kMostSpread = 24;  // connections of one peer that are dialled while others have room
+  bool crowded = false;
   for (auto it = p.waiting.begin(); it != p.waiting.end();) {
     auto* hop = *it;
-    const auto free = std::ranges::find_if(p.connections, [&](const Connection* c) {
-      return c->up && !c->silent && c->live < hops_a_connection_ && !c->open.contains(hop->what_.id);
-    });
-    if (free == p.connections.end()) {
+    Connection* best = nullptr;
+    for (auto* c : p.connections)
+      if (c->up && !c->silent && c->live < hops_a_connection_ && !c->open.contains(hop->what_.id) &&
+          (best == nullptr || c->live < best->live))
+        best = c;
+    if (best == nullptr) {
       ++it;
       continue;
     }
+    crowded = crowded || best->live > 0;
     it = p.waiting.erase(it);
-    write(*hop, **free);
+    write(*hop, *best);
   }
+  const bool room = p.connections.size() < kMostSpread && connections_ < most_connections_ * 3 / 4;
+  if (crowded && room && p.dialing == 0) scheduler_.start(connection(index_.at(p.id)));
 }
 
 void Caches::write(Hop& hop, Connection& c) {
@@ -188,8 +202,16 @@
   if (hop.state_ == Hop::State::written) cancel(hop);
   if (hop.state_ == Hop::State::settling)
     c.open.erase(hop.what_.id);
-  else
+  else {
+    constexpr std::size_t kCrossing = 64;  // more than can be given up in the time of one way and back
     c.open[hop.what_.id] = nullptr;
+    c.given_up.push_back(hop.what_.id);
+    if (c.given_up.size() > kCrossing) {
+      if (const auto it = c.open.find(c.given_up.front()); it != c.open.end() && it->second == nullptr)
+        c.open.erase(it);
+      c.given_up.pop_front();
+    }
+  }
   --c.live;
   hop.over_ = nullptr;
   if (c.silent && c.live == 0) c.stream.close();
@@ -214,11 +236,41 @@
   for (auto* hop : std::exchange(p.waiting, {})) hop->finish(Verdict::no_connection);
 }
 
+// With all places taken, an idle connection to another peer goes.
+void Caches::make_room() {
+  Connection* first = nullptr;
+  for (const auto& p : peers_)
+    for (auto* c : p->connections)
+      if (c->up && !c->silent && c->live == 0 && (first == nullptr || c->used < first->used)) first = c;
+  if (first != nullptr) first->silent = true, first->stream.close();
+}
+
 Task Caches::connection(int member) {
+  constexpr Sec kPause = 0.02;  // without a descriptor: until some connections may have closed
   auto& p = peer(member);
+  if (connections_ >= most_connections_) make_room();
+  struct Count {
+    std::size_t &all, &dialing;
+    bool up = false;
+    ~Count() { --all, dialing -= !up; }
+    void is_up() { up = true, --dialing; }
+  } count{++connections_, ++p.dialing};
   Fd fd = dial(p.address);
+  while (!fd && (errno == EMFILE || errno == ENFILE)) {
+    log_("connect", "{} at {}: {}, {} connections", p.id, text_of(p.address), std::strerror(errno),
+         connections_);
+    p.wants_descriptors = true;
+    make_room();
+    Event pause(scheduler_);
+    co_await pause.wait(scheduler_.now() + kPause);
+    if (p.waiting.empty()) co_return;
+    fd = dial(p.address);
+  }
+  p.wants_descriptors = false;
   if (!fd) {
-    dial_failed(p, std::strerror(errno));
+    const int why = errno;
+    count.is_up();
+    dial_failed(p, std::strerror(why));
     co_return;
   }
   Connection c(scheduler_, outbox_, std::move(fd));
@@ -232,9 +284,8 @@
       peer.connections.erase(at);
     }
   } place_in_list{p, c, p.connections.insert(p.connections.end(), &c)};
-  ++p.dialing;
   const bool in_time = co_await c.stream.writable(scheduler_.now() + dial_within_);
-  --p.dialing;
+  count.is_up();
   if (const int error = c.stream.error(); !in_time || error != 0) {
     dial_failed(p, in_time ? std::strerror(error) : "not up in time");
     co_return;
@@ -242,6 +293,9 @@
   c.up = true;
   c.heard = c.used = scheduler_.now();
   place(p);
+  // Bytes of one answer follow each other within a round trip; where they stop, nothing on this connection
+  // will be answered any more.
+  constexpr Sec kRest = 0.4;
   std::string_view why = "closed by the other side";
   for (;;) {
     const auto came = c.stream.read();
@@ -255,9 +309,16 @@
       place(p);
       continue;
     }
-    const Sec until = c.live > 0 ? kNoTime : std::max(c.used + idle_, scheduler_.now() + 0.1);
+    const bool begun = !c.stream.in().empty();
+    const Sec until = begun        ? c.heard + kRest
+                      : c.live > 0 ? kNoTime
+                                   : std::max(c.used + idle_, scheduler_.now() + 0.1);
     const bool told = co_await c.stream.readable(until);
     if (told) continue;
+    if (begun && scheduler_.now() >= c.heard + kRest) {
+      why = "an answer that stopped midway";
+      break;
+    }
     if (c.live == 0 && scheduler_.now() >= c.used + idle_) {
       why = "";
       break;
@@ -274,7 +335,7 @@
 }
 
 bool Caches::take_answers(Connection& c) {
-  constexpr std::size_t kMostWords = 8, kMostBytes = 1 << 20;  // an object has at most 240,000 bytes
+  constexpr std::size_t kMostWords = 8, kMostBytes = 240'000;  // the largest object
   Words answer_words;
   try {
     for (;;) {
@@ -314,6 +375,7 @@
                                   {"crowded", Note::no_fill_place},
                                   {"behind", Note::origin_failed}},
                                  Note::none);
+  const auto etag = field(fields, "etag").value_or("");
   const auto it = c.open.find(id);
   if (it == c.open.end()) return;
   auto* hop = it->second;
@@ -326,7 +388,7 @@
   auto& end = hop->end_;
   end.note = note;
   end.still_good = words[1] == "still_good";
-  end.etag = field(fields, "etag").value_or("");
+  end.etag = etag;
   if (words.size() > 3) end.body = words[3];
   hop->finish(static_cast<Verdict>(verdict));
 }
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -71,8 +71,8 @@
 
 class Caches {
  public:
-  Caches(Scheduler& scheduler, Outbox& outbox, Log& log, int hops_a_connection, Sec dial_within,
-         Sec closed_when_idle, bool cancels);
+  Caches(Scheduler& scheduler, Outbox& outbox, Log& log, std::size_t most_connections, int hops_a_connection,
+         Sec dial_within, Sec closed_when_idle, bool cancels);
   ~Caches();
 
   int member(std::string_view id);  // its index, given at first sight
@@ -91,6 +91,7 @@
   void write(Hop& hop, Connection& over);
   void place(Peer& at);
   void dial_for(int member);
+  void make_room();
   Task connection(int member);
   bool take_answers(Connection& c);
   void answer(Connection& c, const std::vector<std::string_view>& words);
@@ -101,9 +102,10 @@
   Scheduler& scheduler_;
   Outbox& outbox_;
   Log& log_;
-  const std::size_t hops_a_connection_;
+  const std::size_t most_connections_, hops_a_connection_;
   const Sec dial_within_, idle_;
   const bool cancels_;
+  std::size_t connections_ = 0;  // of all peers, dials included
   std::vector<std::unique_ptr<Peer>> peers_;
   std::unordered_map<std::string, int> index_;
 };
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -29,11 +29,12 @@
   if (fd) scheduler.forget(fd.get(), *this);
 }
 
-Clients::Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen,
+Clients::Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen, std::size_t most,
                  std::vector<std::string> rule_names, Serve serve)
     : scheduler_(scheduler),
       outbox_(outbox),
       log_(log),
+      most_(most),
       rule_names_(std::move(rule_names)),
       serve_(std::move(serve)),
       alive_("UNREADY"),
@@ -46,6 +47,8 @@
   while (listener_->fd) {
     Fd fd(::accept4(listener_->fd.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd) {
+      if (clients_.size() >= most_) make_room();
+      if (clients_.size() >= most_) continue;  // all have open txns: this one is closed at once
       auto client = std::make_shared<Client>(scheduler_, outbox_, std::move(fd));
       clients_[client.get()] = client;
       scheduler_.start(connection(std::move(client)));
@@ -62,19 +65,43 @@
   }
 }
 
+// With all places taken: those that said nothing go first, then the longest idle; one with open txns stays.
+// Guards against clients that ask once and stay, or connect by the hundred and say nothing.
+void Clients::make_room() {
+  constexpr Sec kFresh = 0.2;  // one that just came may have its first request on the way
+  const auto rank = [&](const Client& c) {
+    return std::pair(c.spoke_ || c.last_ > scheduler_.now() - kFresh, c.last_);
+  };
+  Client* first = nullptr;
+  for (const auto& [client, held] : clients_)
+    if (client->idle() && (first == nullptr || rank(*client) < rank(*first))) first = client;
+  if (first == nullptr) return;
+  log_("client", "closed to make room, quiet for {:.1f} s", scheduler_.now() - first->last_);
+  first->stream_.close();
+  clients_.erase(first);
+}
+
 Task Clients::connection(std::shared_ptr<Client> client) {
   constexpr std::size_t kUnread = 1 << 20;  // a few of the largest answers; then nothing more is asked of us
+  // For the first message, and for the rest of one that has begun. Usual clients need a few round trips.
+  constexpr Sec kWhole = 2;
   auto& stream = client->stream_;
   struct Place {
     Clients& clients;
     Client* client;
     ~Place() { clients.clients_.erase(client); }
   } place{*this, client.get()};
+  client->last_ = scheduler_.now();
   for (;;) {
     const auto came = stream.read();
     if (came == Stream::Came::end || (came == Stream::Came::bytes && !take_requests(client))) break;
     while (!stream.broken() && stream.unsent() > kUnread) co_await stream.writable(scheduler_.now() + 0.1);
-    if (came == Stream::Came::nothing) co_await stream.readable();
+    if (came != Stream::Came::nothing) continue;
+    const bool owes = !client->spoke_ || !stream.in().empty();
+    const bool told = co_await stream.readable(owes ? client->last_ + kWhole : kNoTime);
+    if (told) continue;
+    log_("client", "connection closed: no whole message in {} s", kWhole);
+    break;
   }
   stream.close();
   for (const auto& [tag, seat] : std::exchange(client->open_, {})) seat->leave();
@@ -89,6 +116,7 @@
       if (words.used == 0) return true;
       request(client, words.words);
       client->stream_.consume(words.used);
+      client->spoke_ = true, client->last_ = scheduler_.now();
     }
   } catch (const Malformed& e) {
     log_("client", "connection closed: {}", e.what());
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -36,14 +36,17 @@
 
  private:
   friend class Clients;
+  bool idle() const { return open_.empty() && stream_.unsent() == 0; }
   Stream stream_;
   std::unordered_map<std::string, Seat*> open_;
+  bool spoke_ = false;  // at least one whole message came
+  Sec last_ = 0;        // when it connected or last spoke
 };
 
 class Clients {
  public:
   using Serve = std::function<void(std::shared_ptr<Client>, Order)>;
-  Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen,
+  Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen, std::size_t most,
           std::vector<std::string> rule_names, Serve serve);
 
   void set_word(std::string_view alive) { alive_ = alive; }  // what ALIVE is answered with
@@ -55,6 +58,7 @@
  private:
   Task accept_all();
   Task connection(std::shared_ptr<Client> client);
+  void make_room();
   bool take_requests(const std::shared_ptr<Client>& client);
   void request(const std::shared_ptr<Client>& client, const std::vector<std::string_view>& words);
   Order order_of(const std::vector<std::string_view>& words) const;
@@ -71,6 +75,7 @@
   Scheduler& scheduler_;
   Outbox& outbox_;
   Log& log_;
+  const std::size_t most_;
   std::vector<std::string> rule_names_;
   Serve serve_;
   std::string alive_;
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -14,7 +14,12 @@
 class List final : public ListEvents {
  public:
   List(Scheduler& scheduler, Outbox& outbox, Log& log, Desk& desk, Caches& caches)
-      : scheduler_(scheduler), outbox_(outbox), log_(log), desk_(desk), caches_(caches), pause_over_(scheduler) {}
+      : scheduler_(scheduler),
+        outbox_(outbox),
+        log_(log),
+        desk_(desk),
+        caches_(caches),
+        pause_over_(scheduler) {}
 
   void held(std::uint64_t last) { last_ = last; }
   void follow(const Address& bus);  // from the last event held; a second call moves to another address
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -22,6 +22,13 @@
 
 }  // namespace
 
+Router::Share::Share(int sockets) {
+  constexpr int kOwn =
+      14;  // standard streams, epoll, signals, listener, bus and its next dial, a file; spare
+  clients = static_cast<std::size_t>(std::max(2, (sockets - kOwn) / 2));
+  caches = static_cast<std::size_t>(std::max(2, sockets - kOwn - (sockets - kOwn) / 2));
+}
+
 Router::Signals::Signals(Scheduler& s) : scheduler(s), came(s) {
   sigset_t set;
   sigemptyset(&set);
@@ -45,14 +52,15 @@
     : log_(log),
       config_(std::move(config)),
       read_again_(std::move(read_again)),
+      share_(config_.sockets),
       signals_(scheduler_),
       desk_(scheduler_, fold_seed(config_.seed), config_.settings),
       outbox_(scheduler_),
-      caches_(scheduler_, outbox_, log, config_.settings.whole("allowed.streams_per_conn", 32),
+      caches_(scheduler_, outbox_, log, share_.caches, config_.settings.whole("allowed.streams_per_conn", 32),
               config_.settings.ms("allowed.dial_timeout"), config_.settings.ms("allowed.idle_close"),
               config_.settings.flag("allowed.cancel")),
       list_(scheduler_, outbox_, log, desk_, caches_),
-      clients_(scheduler_, outbox_, log, config_.listen, rule_names(config_.settings),
+      clients_(scheduler_, outbox_, log, config_.listen, share_.clients, rule_names(config_.settings),
                [this](std::shared_ptr<Client> client, Order order) {
                  scheduler_.start(serve(scheduler_, desk_, caches_, std::move(client), std::move(order)));
                }) {
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -31,6 +31,13 @@
     Event came;
   };
 
+  // The descriptors that the platform allows, by who may hold them: usual clients hold a third at most, so
+  // half leaves room for those that stay; cache servers have the rest.
+  struct Share {
+    explicit Share(int sockets);
+    std::size_t clients, caches;
+  };
+
   void enter(Phase phase);
   void reload();
   Task live();
@@ -39,6 +46,7 @@
   const Config config_;
   const std::function<Config()> read_again_;
   Phase phase_ = Phase::starting;
+  const Share share_;
   Scheduler scheduler_;
   Signals signals_;
   Desk desk_;  // before the outbox: what a turn decides goes out at its end
