Every field is checked at the door; an id that is open is not opened again

Clients::order_of took nan, infinite, negative and fractional limits, ids of any length, defaults for absent part and group, and any bytes as key and tag, and passed them on; a second txn under an open id was sent as if it were new. What cannot be used now gets ABORTED unsent.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -11,6 +11,36 @@
 
 namespace walkpaddle::net {
 
+namespace {
+
+// Digits of that many places and no other bytes, which the parsers of cache servers take for hexadecimal.
+std::uint64_t hex16(std::string_view text, std::string_view name) {
+  if (text.size() != 16) bad(name, text);
+  return parse<std::uint64_t>(text, name, 16);
+}
+
+// A whole number between two bounds, as plain digits.
+int whole(std::string_view text, std::string_view name, int least, int most) {
+  const int value = parse<int>(text, name);
+  if (value < least || value > most || text.front() == '-') bad(name, text);
+  return value;
+}
+
+// What can stand as a value in a list of fields, and ends no message of a careless reader.
+std::string_view plain(std::string_view text, std::string_view name) {
+  constexpr std::size_t kLongest = 64;  // twice a usual key
+  const auto stands = [](char c) { return c > ' ' && c <= '~' && c != ',' && c != '='; };
+  if (text.empty() || text.size() > kLongest || !std::ranges::all_of(text, stands)) bad(name, text);
+  return text;
+}
+
+}  // namespace
+
+OpenId::OpenId(Ids& ids, std::uint64_t id) : id_(id) {
+  if (!ids.insert(id).second) throw Malformed("txn that is open already");
+  ids_ = &ids;
+}
+
 void Client::answer(const std::string& tag, std::string_view word, std::string_view fields,
                     std::string_view body) {
   if (!body.empty())
@@ -30,12 +60,12 @@
 }
 
 Clients::Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen, std::size_t most,
-                 std::vector<std::string> rule_names, Serve serve)
+                 std::vector<RuleName> rules, Serve serve)
     : scheduler_(scheduler),
       outbox_(outbox),
       log_(log),
       most_(most),
-      rule_names_(std::move(rule_names)),
+      rules_(std::move(rules)),
       serve_(std::move(serve)),
       alive_("UNREADY"),
       listener_(std::make_unique<Listener>(scheduler, listen_on(listen))) {
@@ -129,7 +159,7 @@
   if (words.size() < 2) bad("request", "");
   const auto verb = words[0];
   const std::string tag(words[1]);
-  parse<std::uint64_t>(tag, "tag");
+  if (parse<std::uint64_t>(tag, "tag") == 0) bad("tag", tag);
   if (verb == "ALIVE") return client->answer(tag, alive_);
   if (verb == "FORGET") {
     const auto it = client->open_.find(tag);
@@ -151,14 +181,16 @@
   serve_(client, std::move(order));
 }
 
-Order Clients::order_of(const std::vector<std::string_view>& words) const {
+Order Clients::order_of(const std::vector<std::string_view>& words) {
+  constexpr int kLongestLimit = 3'600'000, kMostParts = 1'000'000;  // far past any object's or client's
+  constexpr std::size_t kLargestBody = 48'000;                      // a write
   if (words.size() < 4 || words.size() > 5) bad("number of words", std::to_string(words.size()));
   Order o;
   o.tag = words[1];
   o.rule_name = words[2];
-  const auto rule = std::ranges::find(rule_names_, words[2]);
-  if (rule == rule_names_.end()) bad("class", words[2]);
-  o.rule = static_cast<int>(rule - rule_names_.begin());
+  const auto rule = std::ranges::find(rules_, words[2], &RuleName::name);
+  if (rule == rules_.end()) bad("class", words[2]);
+  o.rule = static_cast<int>(rule - rules_.begin());
   const auto fields = words[3];
   const auto needed = [&](std::string_view name) {
     const auto value = field(fields, name);
@@ -166,15 +198,18 @@
     return *value;
   };
   o.id_text = needed("txn");
-  o.id = parse<std::uint64_t>(o.id_text, "txn", 16);
-  o.expires = scheduler_.now() + parse<double>(needed("limit"), "limit") / 1e3;
+  o.id = hex16(o.id_text, "txn");
+  o.expires = scheduler_.now() + whole(needed("limit"), "limit", 1, kLongestLimit) / 1e3;
   o.object_text = needed("item");
-  o.part_text = field(fields, "seg").value_or("0");
-  o.part = parse<int>(o.part_text, "seg");
-  o.group = parse<std::uint32_t>(field(fields, "bucket").value_or("0"), "bucket");
-  o.key = field(fields, "unique").value_or("");
-  o.etag = field(fields, "etag").value_or("");
+  hex16(o.object_text, "item");
+  o.part_text = needed("seg");
+  o.part = whole(o.part_text, "seg", 0, kMostParts);
+  o.group = static_cast<std::uint32_t>(whole(needed("bucket"), "bucket", 0, 255));
+  if (const auto key = field(fields, "unique"); key || rule->keyed) o.key = plain(needed("unique"), "unique");
+  if (const auto etag = field(fields, "etag")) o.etag = plain(*etag, "etag");
   if (words.size() > 4) o.body = words[4];
+  if (o.body.size() > kLargestBody) bad("size of body", std::to_string(o.body.size()));
+  o.open = OpenId(open_ids_, o.id);
   return o;
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -7,8 +7,11 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
+#include "net/config.h"
 #include "net/desk.h"
 #include "net/log.h"
 #include "net/scheduler.h"
@@ -16,6 +19,26 @@
 
 namespace walkpaddle::net {
 
+// The ids of the txns that are open, over all connections; an order holds its own until its txn is over.
+class OpenId {
+ public:
+  using Ids = std::unordered_set<std::uint64_t>;
+  OpenId() = default;
+  OpenId(Ids& ids, std::uint64_t id);  // Malformed if it is open already
+  OpenId(OpenId&& other) noexcept : ids_(std::exchange(other.ids_, nullptr)), id_(other.id_) {}
+  OpenId& operator=(OpenId&& other) noexcept {
+    std::swap(ids_, other.ids_), std::swap(id_, other.id_);
+    return *this;
+  }
+  ~OpenId() {
+    if (ids_ != nullptr) ids_->erase(id_);
+  }
+
+ private:
+  Ids* ids_ = nullptr;
+  std::uint64_t id_ = 0;
+};
+
 // What a client asked: what goes on unchanged as the bytes that came, the rest taken out.
 struct Order {
   std::string tag, id_text, object_text, part_text, key, etag, body, rule_name;
@@ -23,6 +46,7 @@
   int rule = 0, part = 0;
   std::uint32_t group = 0;
   Sec expires = 0;
+  OpenId open;
 };
 
 // One connection. Its txns hold it until they are answered.
@@ -47,7 +71,7 @@
  public:
   using Serve = std::function<void(std::shared_ptr<Client>, Order)>;
   Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen, std::size_t most,
-          std::vector<std::string> rule_names, Serve serve);
+          std::vector<RuleName> rules, Serve serve);
 
   void set_word(std::string_view alive) { alive_ = alive; }  // what ALIVE is answered with
   void stop_accepting();
@@ -61,7 +85,7 @@
   void make_room();
   bool take_requests(const std::shared_ptr<Client>& client);
   void request(const std::shared_ptr<Client>& client, const std::vector<std::string_view>& words);
-  Order order_of(const std::vector<std::string_view>& words) const;
+  Order order_of(const std::vector<std::string_view>& words);
 
   struct Listener final : Scheduler::Watcher {
     Listener(Scheduler& scheduler, Fd fd);
@@ -76,7 +100,8 @@
   Outbox& outbox_;
   Log& log_;
   const std::size_t most_;
-  std::vector<std::string> rule_names_;
+  std::vector<RuleName> rules_;
+  OpenId::Ids open_ids_;
   Serve serve_;
   std::string alive_;
   std::unique_ptr<Listener> listener_;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -110,10 +110,12 @@
   });
 }
 
-std::vector<std::string> rule_names(const Settings& settings) {
-  std::vector<std::string> names;
-  for (int n = 0; n < settings.whole("categories.count"); ++n)
-    names.emplace_back(settings.text("categories." + std::to_string(n) + ".name"));
+std::vector<RuleName> rule_names(const Settings& settings) {
+  std::vector<RuleName> names;
+  for (int n = 0; n < settings.whole("categories.count"); ++n) {
+    const auto at = "categories." + std::to_string(n) + ".";
+    names.push_back({std::string(settings.text(at + "name")), settings.text(at + "effect") == "guarded"});
+  }
   return names;
 }
 
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -27,6 +27,10 @@
 // The events that were known at the start, in order; gives the number of the last.
 std::uint64_t hand_known(const std::string& known, const Settings& settings, ListEvents& events);
 
-std::vector<std::string> rule_names(const Settings& settings);
+struct RuleName {
+  std::string name;
+  bool keyed = false;
+};
+std::vector<RuleName> rule_names(const Settings& settings);
 
 }  // namespace walkpaddle::net
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -158,7 +158,7 @@
   try {
     const auto c = net::parse_config(text);
     std::printf(" %s on %s, first class %s\n", c.name.c_str(), net::text_of(c.listen).c_str(),
-                net::rule_names(c.settings).front().c_str());
+                net::rule_names(c.settings).front().name.c_str());
   } catch (const Malformed& e) {
     std::printf(" malformed: %s\n", std::string(e.what()).substr(0, 70).c_str());
   }
