An answer's bytes tell its own time; objects' sizes are remembered

Probe (reasons counted at each give-up): never cold budgets, sources or the link, nearly always the caches' limits in flight, some at their floor of 4 with 0.2 late. Probe of answers against bytes: a hit takes its bytes over the told pace and some milliseconds (7 KB 0.12 s, 51 KB 0.78 s), so no answer was late; against the mean of 0.2 s each big one looked so. At fault: hop_ended's lateness and mean_work's guess from quiet hits, Limit::answered.

Now the host tells the answer's own time by its bytes and the told pace of one transfer; the module holds lateness, limits and patience against it and remembers the size with the object's counter. Where that time is known a limit grows by one an answer until first cut.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -37,7 +37,7 @@
  public:
   struct Entry {
     std::uint64_t object = 0;
-    float count = 0;
+    float count = 0, kbytes = 0;  // its size as last answered, 0 while untold
     int sib = -1, owed = 0;
     Sec sib_at = -kNever, owed_at = -kNever, used = -kNever;
   };
@@ -46,14 +46,10 @@
     auto* set = &table_[(object >> 20) % kSets * kWays];
     auto* worst = set;
     for (auto* e = set; e != set + kWays; ++e) {
-      if (e->object == object) {
-        worst = e;
-        break;
-      }
+      if (e->object == object) return e->used = now, *e;
       if (std::pair(e->count, e->used) < std::pair(worst->count, worst->used)) worst = e;
     }
-    if (worst->object != object) *worst = {.object = object};
-    worst->used = now;
+    *worst = {.object = object, .used = now};
     return *worst;
   }
   void halve() {
@@ -70,6 +66,7 @@
 struct Limit {
   static constexpr double kTooMany = 0.15;  // late; sizes vary: a tenth looks late on a good day
   double cap = 16, used = 0, late = 0, least = 4;
+  bool crowded = false;  // since it was cut or is cold: until then it may grow by one with each answer
   Sec cut_at = -kNever;
   // Each of many routers starts with its part of a small machine's work: three hops at least, or objects
   // move.
@@ -82,16 +79,18 @@
   void lost(Sec now) {
     if (late > kTooMany / 3) answered(1, now);
   }
-  void answered(double lateness, Sec now) {
+  // sure: the answer's own time is known. Then a start finds its size in seconds; a guess would overshoot.
+  void answered(double lateness, Sec now, bool sure = false) {
     constexpr double kLately = 0.1;
     late += (lateness - late) * kLately;
     if (late > kTooMany)
       cut(now);
     else if (lateness <= 0 && used > cap / 2)
-      cap += 1 / cap;
+      cap += sure && !crowded ? 1 : 1 / cap;
   }
   void cut(Sec now) {
     constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
+    crowded = true;
     if (now - cut_at < kPause) return;
     cut_at = now, cap = std::max(least, cap * 0.8);
   }
@@ -158,7 +157,7 @@
   void set_roles(const Roles& r) override { roles = r; }
   void add_rule(const RemapRule& rule) override {
     rules.push_back(rule);
-    excess.emplace_back(rule.sla_time, rule.sla_time);
+    for (auto& e : excess) e.emplace_back(rule.sla_time, rule.sla_time);
     mean_work.push_back({.mean = rule.sla_time});  // until hits tell: longer than most sendings
   }
   void set_hopping(const Hopping& h) override { hopping = h; }
@@ -209,7 +208,8 @@
   } warm[2];  // caches, parents: work lately got through a warm member, in the mean
   std::vector<RemapRule> rules;
   std::vector<Quiet> mean_work;                   // by rule: sending time, from told sizes or hits
-  std::vector<std::pair<double, double>> excess;  // by rule: mean, deviation of hop times past the sending
+  // By whether the size was known, by rule: mean, deviation of hop times past the sending that was known.
+  std::vector<std::pair<double, double>> excess[2];
   Quiet misses{.mean = 0.5};                      // share of hops to a cache that draw a fill
   double mean_txn = 0.4;
 
@@ -259,7 +259,7 @@
     x.started = started;
     if (!is_cold(x)) return;
     constexpr double kFirst = 2;  // a fresh member's cap; grows with its answers
-    x.hops.cap = x.fills.cap = kFirst;
+    x.hops.cap = x.fills.cap = kFirst, x.hops.crowded = x.fills.crowded = true;
     // A random phase: the first hops of many routers must not meet there.
     x.spent = mean_txn * std::uniform_real_distribution<>(0, 1)(chance_source), x.spent_at = now;
     x.failing = x.hold = 0, x.trial = 0, x.aside_until = -kNever;
@@ -344,10 +344,12 @@
 
   // How long a hop of this txn may take before it is held for lost: well past what its rule's hops lately
   // took beyond the told sending time.
-  Sec patience_of(const Txn& t) const { return expected(t) + 8 * excess[t.rule].second; }
-  Sec expected(const Txn& t) const { return (t.kbytes > 0 ? work_of(t) : 0) + excess[t.rule].first; }
+  Sec patience_of(const Txn& t) const { return expected(t) + 8 * excess[t.kbytes > 0][t.rule].second; }
+  Sec expected(const Txn& t) const {
+    return (t.kbytes > 0 ? work_of(t) : 0) + excess[t.kbytes > 0][t.rule].first;
+  }
   void took_so_long(const Txn& t, Sec took) {
-    auto& [mean, dev] = excess[t.rule];
+    auto& [mean, dev] = excess[t.kbytes > 0][t.rule];
     const double over = took - (t.kbytes > 0 ? work_of(t) : 0);
     dev += (std::abs(over - mean) - dev) * 0.02;  // some seconds of answers
     mean += (over - mean) * 0.02;
@@ -508,11 +510,8 @@
     });
     if (p.member >= 0) {
       if (!t.keep && filling.siblings != Siblings::none && sib_known && e.sib != p.member &&
-          usable(members[e.sib]) && !failed_from(t, e.sib) && cold_room(members[e.sib], work)) {
-        p.source = e.sib;
-        p.held_only = true;
-        return p;
-      }
+          usable(members[e.sib]) && !failed_from(t, e.sib) && cold_room(members[e.sib], work))
+        return {p.member, e.sib, true};
       p.source = pick_source(t);
       if (p.source >= 0) return p;
     }
@@ -643,8 +642,9 @@
     t.taken = now, t.expires = expires;
     if (kbytes > 0 && filling.pace > 0) mean_work[rule].see(kbytes / filling.pace, true);
     if (!rules[rule].uncacheable) {
-      mean_txn += (work_of(t) - mean_txn) * 0.01;
       auto& e = counts.at(object, now);
+      if (kbytes <= 0) t.kbytes = e.kbytes;
+      mean_txn += (work_of(t) - mean_txn) * 0.01;
       const bool again = repeat || (!clients.mark_repeats && e.owed > 0 && now - e.owed_at < 2);
       if (again && e.owed > 0) --e.owed;
       if (!again && part == 0) e.count += 1;
@@ -668,7 +668,7 @@
     if (h.fill) hold(members[h.source]), members[h.source].fills.used += fill;
   }
 
-  void hop_ended(int i, int n, Verdict v, Note note, Sec took, bool over) override {
+  void hop_ended(int i, int n, Verdict v, Note note, Sec took, Sec sending, bool over) override {
     auto& t = txns[i];
     if (n < 0 || n >= static_cast<int>(t.hops.size()) || !t.hops[n].out) return;
     auto& h = t.hops[n];
@@ -676,7 +676,12 @@
     const auto& r = rules[t.rule];
     auto& x = members[h.member];
     const bool other_source = h.source >= 0 && h.source != h.member;
-    const double work = work_of(t);
+    // Guards against big answers that look late against the mean: limits were cut to their floor for them.
+    if (sending > 0 && v == Verdict::completed && !r.uncacheable) {
+      counts.at(t.object, now).kbytes = sending * filling.pace;
+      mean_work[t.rule].see(sending, true);
+    }
+    const double work = sending > 0 ? sending : work_of(t);
     const bool was_hit = note == Note::hit || note == Note::old_copy;
     if (v != Verdict::timed_out && v != Verdict::no_connection && v != Verdict::called_off &&
         v != Verdict::not_sent)
@@ -691,18 +696,19 @@
       took_so_long(t, took);
       served(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
       // With neither sizes nor loads told, a late answer may be a big object's: it speaks less of a crowd.
-      const double sure = t.kbytes > 0 || x.busy >= 0 ? 1 : 0.8;
+      const double sure = t.kbytes > 0 || sending > 0 || x.busy >= 0 ? 1 : 0.8;
       const double late = took > r.sla_time + r.sla_stretch * work ? sure : 0;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
-      if (was_hit && t.kbytes <= 0) mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3);
-      if (x.role == Role::cache && was_hit) x.hops.answered(late, now);
-      if (!was_hit) link.answered(late, now);
+      if (was_hit && t.kbytes <= 0 && sending <= 0)
+        mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3);
+      if (x.role == Role::cache && was_hit) x.hops.answered(late, now, sending > 0);
+      if (!was_hit) link.answered(late, now, sending > 0);
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.answered(late, now);
-        x.fills.answered(0, now);
+        s.fills.answered(late, now, sending > 0);
+        x.fills.answered(0, now, sending > 0);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
       auto& e = counts.at(t.object, now);
@@ -714,9 +720,8 @@
       h.failed = true;
       blame(t, h, v, note);
     }
-    if (!proves_not_run(v) && v != Verdict::completed && t.may_have_run >= kNever) {
+    if (!proves_not_run(v) && v != Verdict::completed && t.may_have_run >= kNever)
       t.may_have_run = h.sent, t.ran_at = h.member;
-    }
     if (over) finish(t);
     if (!t.live) return;
     if (v == Verdict::not_taken || (r.uncacheable && may_hop_again(t))) {
@@ -779,10 +784,8 @@
     for (auto* table : {&purged_objects, &purged_groups}) forget_purges(*table);
     look_for_silence();
     count_warm(kTick);
-    if (asks && now >= ask_at) {
-      ask_at = kNever;  // once; again only after a failed call
-      say({.kind = Decision::Kind::subscribe});
-    }
+    // Once; again only after a failed call.
+    if (asks && now >= ask_at) ask_at = kNever, say({.kind = Decision::Kind::subscribe});
   }
 
   // Those that wait for room go first by importance for the work they ask, then by age.
@@ -810,10 +813,7 @@
     }
     place_all();
     const Sec next_due = due.empty() ? tick_at : std::min(tick_at, due.begin()->first);
-    if (next_due < woken_for) {
-      woken_for = next_due;
-      say({.kind = Decision::Kind::wake, .time = next_due});
-    }
+    if (next_due < woken_for) say({.kind = Decision::Kind::wake, .time = woken_for = next_due});
     return said.empty() ? std::nullopt : std::optional(said[said_from++]);
   }
 };
--- a/src/brain.h
+++ b/src/brain.h
@@ -129,7 +129,9 @@
                          double kbytes, Sec expires, bool repeat) = 0;
   virtual void txn_left(int txn) = 0;
   virtual void load_told(int member, double busy) = 0;  // share of its capacity that it reports in use
-  virtual void hop_ended(int txn, int hop, Verdict verdict, Note note, Sec took, bool txn_over) = 0;
+  // sending: the answer's own time at a client's pace, by its bytes; 0 where they are not seen
+  virtual void hop_ended(int txn, int hop, Verdict verdict, Note note, Sec took, Sec sending,
+                         bool txn_over) = 0;
   virtual void purged(std::uint64_t object, Sec ago) = 0;
   virtual void purged_group(std::uint32_t group, Sec ago) = 0;
   virtual void woken() = 0;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -76,6 +76,7 @@
     c.listen = parse_address(j.at("listen").get<std::string>());
     c.seed = parse<std::uint64_t>(j.at("seed").get<std::string>(), "seed", 16);
     if (const auto bus = j.value("bus", ""); !bus.empty()) c.bus = parse_address(bus), c.has_bus = true;
+    c.bytes_a_second = j.value("flow_bytes_per_s", 0.0);
     if (j.contains("limits")) {
       c.sockets = j["limits"].value("sockets", c.sockets);
       c.memory_mb = j["limits"].value("memory_mb", c.memory_mb);
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -17,7 +17,7 @@
   bool has_bus = false;
   std::uint64_t seed = 0;
   int sockets = 1024;
-  double memory_mb = 192;
+  double memory_mb = 192, bytes_a_second = 0;  // of one transfer, 0 if not told
   Settings settings;
   std::string known;  // JSON, for hand_known
 };
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -16,15 +16,15 @@
 }
 
 Seat::~Seat() {
-  if (out_) hop_ended(Verdict::not_sent, Note::none, 0, true);
+  if (out_) hop_ended(Verdict::not_sent, Note::none, 0, 0, true);
   desk_.seats_[slot_] = nullptr;
   desk_.free_.push_back(slot_);
 }
 
-void Seat::hop_ended(Verdict verdict, Note note, Sec took, bool txn_over) {
+void Seat::hop_ended(Verdict verdict, Note note, Sec took, Sec sending, bool txn_over) {
   hop_ = nullptr;
   out_ = false;
-  desk_.input().hop_ended(slot_, hops_ - 1, verdict, note, took, txn_over);
+  desk_.input().hop_ended(slot_, hops_ - 1, verdict, note, took, sending, txn_over);
 }
 
 void Seat::leave() {
--- a/src/net/desk.h
+++ b/src/net/desk.h
@@ -25,7 +25,7 @@
   Event::Awaiter woken() { return event_.wait(); }
   std::optional<Decision> decision() { return std::exchange(decision_, std::nullopt); }
   void hop_out(Hop* hop) { hop_ = hop; }
-  void hop_ended(Verdict verdict, Note note, Sec took, bool txn_over);
+  void hop_ended(Verdict verdict, Note note, Sec took, Sec sending, bool txn_over);
   void leave();  // the client waits no more
   bool left() const { return left_; }
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -62,7 +62,8 @@
       list_(scheduler_, outbox_, log, desk_, caches_),
       clients_(scheduler_, outbox_, log, config_.listen, share_.clients, rule_names(config_.settings),
                [this](std::shared_ptr<Client> client, Order order) {
-                 scheduler_.start(serve(scheduler_, desk_, caches_, std::move(client), std::move(order)));
+                 scheduler_.start(serve(scheduler_, desk_, caches_, std::move(client), std::move(order),
+                                        config_.bytes_a_second));
                }) {
   log_("start", "{} on {}, {} descriptors, {} MB", config_.name, text_of(config_.listen), config_.sockets,
        config_.memory_mb);
--- a/src/net/txn.cpp
+++ b/src/net/txn.cpp
@@ -31,7 +31,8 @@
 
 }  // namespace
 
-Task serve(Scheduler& scheduler, Desk& desk, Caches& caches, std::shared_ptr<Client> client, Order order) {
+Task serve(Scheduler& scheduler, Desk& desk, Caches& caches, std::shared_ptr<Client> client, Order order,
+           double bytes_a_second) {
   const auto object = stable_hash(order.object_text);
   Seat seat(desk, order.rule, object, order.part, order.group, order.expires);
   client->opened(order.tag, seat);
@@ -59,8 +60,10 @@
     }
     const auto& end = hop.end();
     const bool completed = end.verdict == Verdict::completed && !seat.left();
+    const auto size = end.body.size();
     if (completed) give(*client, order, end);
-    seat.hop_ended(end.verdict, end.note, scheduler.now() - hop.started(), completed || seat.left());
+    const Sec sending = bytes_a_second > 0 ? static_cast<double>(size) / bytes_a_second : 0;
+    seat.hop_ended(end.verdict, end.note, scheduler.now() - hop.started(), sending, completed || seat.left());
     if (seat.left()) co_return;
     if (completed) break;
   }
--- a/src/net/txn.h
+++ b/src/net/txn.h
@@ -9,6 +9,7 @@
 
 namespace walkpaddle::net {
 
-Task serve(Scheduler& scheduler, Desk& desk, Caches& caches, std::shared_ptr<Client> client, Order order);
+Task serve(Scheduler& scheduler, Desk& desk, Caches& caches, std::shared_ptr<Client> client, Order order,
+           double bytes_a_second);  // of one transfer, 0 if not told
 
 }  // namespace walkpaddle::net
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -246,7 +246,7 @@
   if (t.out > 0) --t.out;
   t.over = t.over || over;
   in.brain->hop_ended(txn, hop, verdict, note < 0 || note > 10 ? Note::none : static_cast<Note>(note), took,
-                      over);
+                      0, over);
   close_if_done(in, txn);
 }
 
