Answers not read are bounded for all clients; a second member's error is not held against it

Seen by reading: each client might hold 1 MB and 32 answers beyond, all together any amount, and the kernel's send buffers grow to megabytes each. Now all together hold a quarter of the memory; past that a client with over 256 KB waiting is closed, and the kernel holds 256 KB for each.

The first error of a txn counts, those of other members on the same txn do not.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -135,7 +135,7 @@
 };
 
 struct Txn {
-  bool live = false, keep = false, queued = false, looked = false;
+  bool live = false, keep = false, queued = false, looked = false, erred = false;
   int rule = 0, out = 0, turned_away = 0;
   std::uint64_t object = 0;
   std::uint32_t group = 0;
@@ -768,6 +768,8 @@
       return;
     }
     x.unreached = x.unreached || v == Verdict::no_connection;
+    // A second member that fails the same txn speaks of the txn: ids that no member knows make none look ill.
+    if (v == Verdict::error && std::exchange(t.erred, true)) return;
     // One broken connection proves little: a reset or a spoilt answer, where a death breaks many at once.
     went_wrong(h.member, v != Verdict::error && v != Verdict::broken);
   }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -41,8 +41,11 @@
   ids_ = &ids;
 }
 
+// Guards against clients that do not read while all answers together press on the memory.
 void Client::answer(const std::string& tag, std::string_view word, std::string_view fields,
                     std::string_view body) {
+  constexpr std::size_t kSlow = 256 * 1024;  // one of the largest answers waits: a client that reads has less
+  if (outbox_.full() && stream_.unsent() > kSlow) return stream_.close();
   if (!body.empty())
     stream_.write(words_text({tag, word, fields, body}));
   else if (!fields.empty())
@@ -74,11 +77,14 @@
 
 Task Clients::accept_all() {
   constexpr Sec kPause = 0.1;  // without descriptors left: until some connections may have closed
+  constexpr int kKernelHolds =
+      256 * 1024;  // one of the largest answers; by itself it would grow to megabytes
   while (listener_->fd) {
     Fd fd(::accept4(listener_->fd.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd) {
       if (clients_.size() >= most_) make_room();
       if (clients_.size() >= most_) continue;  // all have open txns: this one is closed at once
+      ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &kKernelHolds, sizeof kKernelHolds);
       auto client = std::make_shared<Client>(scheduler_, outbox_, std::move(fd));
       clients_[client.get()] = client;
       scheduler_.start(connection(std::move(client)));
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -52,7 +52,8 @@
 // One connection. Its txns hold it until they are answered.
 class Client {
  public:
-  Client(Scheduler& scheduler, Outbox& outbox, Fd fd) : stream_(scheduler, outbox, std::move(fd)) {}
+  Client(Scheduler& scheduler, Outbox& outbox, Fd fd)
+      : outbox_(outbox), stream_(scheduler, outbox, std::move(fd)) {}
   void answer(const std::string& tag, std::string_view word, std::string_view fields = {},
               std::string_view body = {});
   void opened(const std::string& tag, Seat& seat) { open_.emplace(tag, &seat); }
@@ -61,6 +62,7 @@
  private:
   friend class Clients;
   bool idle() const { return open_.empty() && stream_.unsent() == 0; }
+  Outbox& outbox_;
   Stream stream_;
   std::unordered_map<std::string, Seat*> open_;
   bool spoke_ = false;  // at least one whole message came
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -20,6 +20,10 @@
   return longest;
 }
 
+// A quarter of the memory for what clients do not read yet; as much again waits in requests and answers that
+// have not come whole, and the allocator keeps some.
+std::size_t bytes_to_hold(double memory_mb) { return static_cast<std::size_t>(memory_mb * (1 << 20) / 4); }
+
 }  // namespace
 
 Router::Share::Share(int sockets) {
@@ -55,7 +59,7 @@
       share_(config_.sockets),
       signals_(scheduler_),
       desk_(scheduler_, fold_seed(config_.seed), config_.settings),
-      outbox_(scheduler_),
+      outbox_(scheduler_, bytes_to_hold(config_.memory_mb)),
       caches_(scheduler_, outbox_, log, share_.caches, config_.settings.whole("allowed.streams_per_conn", 32),
               config_.settings.ms("allowed.dial_timeout"), config_.settings.ms("allowed.idle_close"),
               config_.settings.flag("allowed.cancel")),
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -82,6 +82,7 @@
 
 Stream::~Stream() {
   if (queued_) outbox_.remove(*this);
+  outbox_.hold(0, unsent());
   scheduler_.forget(fd_.get(), *this);
 }
 
@@ -124,6 +125,7 @@
   if (broken_) return;
   out_ += bytes;
   written_ += bytes.size();
+  outbox_.hold(bytes.size(), 0);
   if (!std::exchange(queued_, true)) outbox_.add(*this);
 }
 
@@ -134,6 +136,7 @@
     if (sent >= 0) {
       out_from_ += static_cast<std::size_t>(sent);
       handed_ += static_cast<std::size_t>(sent);
+      outbox_.hold(0, static_cast<std::size_t>(sent));
     } else if (errno == EAGAIN) {
       blocked_ = true;
     } else if (errno != EINTR) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -30,9 +30,13 @@
 // into.
 class Outbox {
  public:
-  explicit Outbox(Scheduler& scheduler) : room_(kRoom) {
+  // most_held: bytes that may wait to be sent, of all streams together, before those that read slowly are
+  // closed.
+  Outbox(Scheduler& scheduler, std::size_t most_held) : most_held_(most_held), room_(kRoom) {
     scheduler.at_turns_end([this] { flush(); });
   }
+  void hold(std::size_t more, std::size_t less) { held_ += more - less; }
+  bool full() const { return held_ > most_held_; }
   void add(Stream& stream) { streams_.push_back(&stream); }
   void remove(Stream& stream);
   void flush();
@@ -41,6 +45,8 @@
  private:
   // What one read takes: some tens of small messages or part of a large one; others get their turn between.
   static constexpr std::size_t kRoom = 64 * 1024;
+  const std::size_t most_held_;
+  std::size_t held_ = 0;
   std::vector<Stream*> streams_;  // null: dropped since
   std::vector<char> room_;
 };
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -191,6 +191,7 @@
       return send(clients_[w[1]], unescaped(text.substr(text.find(w[1]) + w[1].size() + 1))), true;
     if (what == "gets")
       return std::printf("%s gets %s\n", w[1].c_str(), next_of(clients_[w[1]]).c_str()), true;
+    if (what == "ends") return ends(w[1]), true;
     if (what == "crowd") return crowd(std::stoi(w[1])), true;
     if (what == "leaves") return clients_.erase(w[1]), true;
     if (what == "asked") return asked(w[1]), true;
@@ -243,6 +244,8 @@
       a.sin_family = AF_INET;
       a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
       a.sin_port = htons(static_cast<std::uint16_t>(port));
+      const int room = 16 * 1024;  // what a client does not read waits at the router, not here
+      ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
       if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) == 0) return fd;
     }
     fail("connect");
@@ -313,13 +316,22 @@
     auto& s = servers_[w[1]];
     const bool named = s.over.contains(w[2]);
     std::vector<std::string> words{named ? w[2] : s.id};
-    words.insert(words.end(), w.begin() + 2 + named, w.end());
+    for (auto n = w.begin() + 2 + named; n != w.end(); ++n)  // "LARGE" stands for the largest object
+      words.push_back(*n == "LARGE" ? std::string(240'000, 'x') : *n);
     if (s.last >= s.conns.size()) fail("connection at " + w[1]);
     send(s.conns[named ? s.over[w[2]] : s.last], net_words(words));
   }
 
   static void noise(const Server& s, const std::string& bytes) { send(s.conns.at(s.last), bytes); }
 
+  // Reads all that a client was sent, up to the close.
+  void ends(const std::string& name) {
+    std::string got = "nothing";
+    while ((got = next_of(clients_[name], 1000)) != "closed" && got != "nothing") {
+    }
+    std::printf("%s ends with %s\n", name.c_str(), got.c_str());
+  }
+
   // Clients that ask once and stay, one after the other.
   void crowd(int size) {
     for (int n = 0; n < size; ++n) {
@@ -388,7 +400,7 @@
         R"({"name":"n0","seed":"7","listen":"127.0.0.1:)" + std::to_string(port_) + R"(","bus":"127.0.0.1:)" +
         std::to_string(bus_.port) +
         R"(","known":{"offset":1,"batch":[{"offset":1,"topology":{"complete":true,"members":[)" + list +
-        R"(]}}]},"limits":{"sockets":40},"settings":{"allowed":{"cancel":true,"dial_timeout":2000,"idle_close":15000,
+        R"(]}}]},"limits":{"sockets":40,"memory_mb":3},"settings":{"allowed":{"cancel":true,"dial_timeout":2000,"idle_close":15000,
       "max_attempts":4,"max_retry_after":500,"retry_after":true,"streams_per_conn":32},"categories":[
       {"name":"page","aim":3000,"aim_stretch":2,"deadline":2000,"effect":"free","gain":1},
       {"name":"order","aim":3000,"deadline":2000,"effect":"single_shot","gain":3}],
