A queue is told by the wait past an answer's own time, before anything is late

A log of limits by second shows them growing by one an answer from 24 to 141 while load doubles, with no late answer until a queue of a second stood: against the SLA time stretched by twice its own sending a big answer is not late before. Ruled out: members set aside, cold budgets, connections, CPU, descriptors. At fault: hop_ended's lateness and Limit::answered's growth.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -79,14 +79,14 @@
   void lost(Sec now) {
     if (late > kTooMany / 3) answered(1, now);
   }
-  // sure: the answer's own time is known. Then a start finds its size in seconds; a guess would overshoot.
-  void answered(double lateness, Sec now, bool sure = false) {
+  // quick: no queue, by a known own time. Then a start finds its size in seconds; a guess would overshoot.
+  void answered(double lateness, Sec now, bool quick = false) {
     constexpr double kLately = 0.1;
     late += (lateness - late) * kLately;
     if (late > kTooMany)
       cut(now);
     else if (lateness <= 0 && used > cap / 2)
-      cap += sure && !crowded ? 1 : 1 / cap;
+      cap += quick && !crowded ? 1 : 1 / cap;
   }
   void cut(Sec now) {
     constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
@@ -344,10 +344,9 @@
 
   // How long a hop of this txn may take before it is held for lost: well past what its rule's hops lately
   // took beyond the told sending time.
-  Sec patience_of(const Txn& t) const { return expected(t) + 8 * excess[t.kbytes > 0][t.rule].second; }
-  Sec expected(const Txn& t) const {
-    return (t.kbytes > 0 ? work_of(t) : 0) + excess[t.kbytes > 0][t.rule].first;
-  }
+  Sec patience_of(const Txn& t) const { return expected(t) + 8 * lately(t).second; }
+  Sec expected(const Txn& t) const { return (t.kbytes > 0 ? work_of(t) : 0) + lately(t).first; }
+  const std::pair<double, double>& lately(const Txn& t) const { return excess[t.kbytes > 0][t.rule]; }
   void took_so_long(const Txn& t, Sec took) {
     auto& [mean, dev] = excess[t.kbytes > 0][t.rule];
     const double over = took - (t.kbytes > 0 ? work_of(t) : 0);
@@ -697,18 +696,20 @@
       served(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
       // With neither sizes nor loads told, a late answer may be a big object's: it speaks less of a crowd.
       const double sure = t.kbytes > 0 || sending > 0 || x.busy >= 0 ? 1 : 0.8;
-      const double late = took > r.sla_time + r.sla_stretch * work ? sure : 0;
+      // Past a known own time a wait is a queue: a quarter of the SLA time ends quick growth, all of it is late.
+      const double late = took > r.sla_time + (sending > 0 ? 1.2 : r.sla_stretch) * work ? sure : 0;
+      const bool quick = sending > 0 && took - 1.2 * sending < r.sla_time / 4;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
       if (was_hit && t.kbytes <= 0 && sending <= 0)
         mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3);
-      if (x.role == Role::cache && was_hit) x.hops.answered(late, now, sending > 0);
-      if (!was_hit) link.answered(late, now, sending > 0);
+      if (x.role == Role::cache && was_hit) x.hops.answered(late, now, quick);
+      if (!was_hit) link.answered(late, now, quick);
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.answered(late, now, sending > 0);
-        x.fills.answered(0, now, sending > 0);
+        s.fills.answered(late, now, quick);
+        x.fills.answered(0, now, quick);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
       auto& e = counts.at(t.object, now);
@@ -800,8 +801,7 @@
       };
       return rank(txns[a]) < rank(txns[b]);
     });
-    const auto now_ready = std::exchange(ready, {});
-    for (const int i : now_ready) decide(i);
+    for (const int i : std::exchange(ready, {})) decide(i);
   }
 
   std::optional<Decision> next() override {
