--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -263,7 +263,10 @@
     make_room();
     Event pause(scheduler_);
     co_await pause.wait(scheduler_.now() + kPause);
-    if (p.waiting.empty()) co_return;
+    if (p.waiting.empty()) {
+      p.wants_descriptors = false;
+      co_return;
+    }
     fd = dial(p.address);
   }
   p.wants_descriptors = false;
