A message begun after a pause has its own 2 s

Found by rereading Clients::connection: the time for the rest of a message ran from the last whole one, so a usual client that had idled for 2 s and whose next request came in two reads was closed. Test crowd fails without the change.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -127,14 +127,17 @@
     Client* client;
     ~Place() { clients.clients_.erase(client); }
   } place{*this, client.get()};
-  client->last_ = scheduler_.now();
+  Sec begun = client->last_ = scheduler_.now();  // the message that has not come whole
   for (;;) {
     const auto came = stream.read();
     if (came == Stream::Came::end || (came == Stream::Came::bytes && !take_requests(client))) break;
     while (!stream.broken() && stream.unsent() > kUnread) co_await stream.writable(scheduler_.now() + 0.1);
     if (came != Stream::Came::nothing) continue;
-    const bool owes = !client->spoke_ || !stream.in().empty();
-    const bool told = co_await stream.readable(owes ? client->last_ + kWhole : kNoTime);
+    if (client->spoke_ && stream.in().empty())
+      begun = kNoTime;
+    else
+      begun = begun == kNoTime ? scheduler_.now() : std::max(begun, client->last_);
+    const bool told = co_await stream.readable(begun + kWhole);
     if (told) continue;
     log_("client", "connection closed: no whole message in {} s", kWhole);
     break;
