A message is bounded as a whole, not word by word

Found by rereading: read_words bounded each word, so one client's message could hold 8 times 64 KB and one answer 8 objects before it was whole. Test parsers fails without the change.

--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -338,7 +338,7 @@
 }
 
 bool Caches::take_answers(Connection& c) {
-  constexpr std::size_t kMostWords = 8, kMostBytes = 240'000;  // the largest object
+  constexpr std::size_t kMostWords = 8, kMostBytes = 248'000;  // the largest object, and fields
   Words answer_words;
   try {
     for (;;) {
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -33,6 +33,7 @@
   for (std::size_t n = 0; n < count; ++n) {
     std::size_t length = 0;
     if (!take_length(rest, '$', most_bytes, length)) return;
+    most_bytes -= length;
     if (rest.size() < length + 2) return;
     if (rest.substr(length, 2) != "\r\n") bad("end of word", rest.substr(length, 2));
     into.words.push_back(rest.substr(0, length));
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -11,7 +11,7 @@
 namespace walkpaddle::net {
 
 // The words of the array that `bytes` begins with, and how many bytes it took: 0 while it is not whole. What
-// cannot become one, or claims more than `most_words` words or `most_bytes` bytes in one, is Malformed.
+// cannot become one, or claims more than `most_words` words or `most_bytes` bytes in all, is Malformed.
 struct Words {
   std::vector<std::string_view> words;
   std::size_t used = 0;
