--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -115,7 +115,7 @@
   Sec spent_at = 0;
 };
 
-// A mean as it is in quiet; until enough came in quiet, of whatever comes, so that something is known at once.
+// A mean as it is in quiet; until enough came in quiet, of whatever comes: something is known at once.
 // Guards against a busy start, where the few answers that come in quiet are those of the smallest objects.
 struct Quiet {
   double mean = 0, calm = 0;
@@ -277,8 +277,7 @@
   void set_aside(Member& x) {
     constexpr Sec kFirst = 0.5, kMost = 4;  // from about a client's patience for one hop to a restart's time
     x.hold = std::clamp(x.hold * 2, kFirst, kMost);
-    x.aside_until = now + x.hold;
-    x.trial = 3;
+    x.aside_until = now + x.hold, x.trial = 3;
   }
 
   void went_wrong(int m, bool hard) {
@@ -696,8 +695,9 @@
       served(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
       // With neither sizes nor loads told, a late answer may be a big object's: it speaks less of a crowd.
       const double sure = t.kbytes > 0 || sending > 0 || x.busy >= 0 ? 1 : 0.8;
-      // Past a known own time a wait is a queue: a quarter of the SLA time ends quick growth, all of it is late.
-      const double late = took > r.sla_time + (sending > 0 ? 1.2 : r.sla_stretch) * work ? sure : 0;
+      // Past a known own time a wait is a queue: a quarter SLA time ends quick growth, two are late.
+      const double most = sending > 0 ? 1.2 * work + r.sla_time : r.sla_stretch * work;
+      const double late = took > r.sla_time + std::min(most, r.sla_stretch * work) ? sure : 0;
       const bool quick = sending > 0 && took - 1.2 * sending < r.sla_time / 4;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
       if (was_hit && t.kbytes <= 0 && sending <= 0)
