Two answers in told quiet make the mean, ten where quiet is guessed

Change: where the member tells its load, quiet is known and two answers make the mean; ten stay where it is guessed by what is in flight (a busy start, tests/busy).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -116,14 +116,17 @@
 };
 
 // A mean as it is in quiet; until enough came in quiet, of whatever comes: something is known at once.
-// Guards against a busy start, where the few answers that come in quiet are those of the smallest objects.
+// Guards against a busy start, where the few answers that come in quiet are those of the smallest objects, and
+// against means that follow a queue: one of many routers may see ten answers a second, few of them in quiet.
 struct Quiet {
   double mean = 0, calm = 0;
   int seen = 0, in_quiet = 0;
-  void see(double value, bool quiet) {
-    constexpr int kOver = 50, kEnough = 10;  // seconds of answers; ten halve the doubt of three
+  // Quiet that is guessed by what is in flight here takes ten, which halve the doubt of three; quiet that the
+  // member tells takes two, enough that one small object does not stand for all.
+  void see(double value, bool quiet, bool told = true) {
+    constexpr int kOver = 50;  // seconds of answers
     if (quiet) calm += (value - calm) / std::min(++in_quiet, kOver);
-    mean = in_quiet >= kEnough ? calm : mean + (value - mean) / std::min(++seen, kOver);
+    mean = in_quiet >= (told ? 2 : 10) ? calm : mean + (value - mean) / std::min(++seen, kOver);
   }
 };
 
@@ -701,7 +704,7 @@
       const bool quick = sending > 0 && took - 1.2 * sending < r.sla_time / 4;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
       if (was_hit && t.kbytes <= 0 && sending <= 0)
-        mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3);
+        mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3, x.busy >= 0);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now, quick);
       if (!was_hit) link.answered(late, now, quick);
       if (other_source && !was_hit) {
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -563,6 +563,8 @@
       brain.hop_ended(index_of(txns, l.words[1]), static_cast<int>(l.num("hop")), verdict,
                       static_cast<Note>(l.pick("note", kNotes)), l.num("took", 0.1), l.num("sending"),
                       l.num("over", verdict == Verdict::completed) > 0);
+    } else if (what == "busy") {
+      brain.load_told(index_of(members, l.words[1]), l.num("load"));
     } else if (what == "left") {
       brain.txn_left(index_of(txns, l.words[1]));
     } else if (what == "purge") {
