--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -3,14 +3,13 @@
 // The design (docs/design.md): reference counters decide whether a fill is kept; hash order picks the edge
 // cache and the parent. Beside it stand six mechanisms:
 //   1 limits in flight, grown by one and cut by a share     4 further hops, by what an outcome proves
-//   2 health by symptom: failing, silent, trial returns      5 age limits while a purge settles
+//   2 health by symptom: failing, silent, trial returns      5 age limits by purges, in every hop and source
 //   3 cold budgets for fresh caches and parents              6 early ends: hold briefly, else reject
 #include "brain.h"
 
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <map>
 #include <random>
 #include <set>
 #include <utility>
@@ -143,7 +142,7 @@
   std::uint64_t object = 0;
   std::uint32_t group = 0;
   double kbytes = 0;
-  Sec taken = 0, expires = 0, may_have_run = kNever;
+  Sec taken = 0, expires = 0, may_have_run = kNever, since = 0;  // since: copies made before are purged
   int ran_at = -1;
   std::vector<Hop> hops{};
 };
@@ -167,7 +166,6 @@
   void set_filling(const Filling& f) override { filling = f; }
   void set_cold(const ColdStart& c, const ColdStart& p) override { cold_cache = c, cold_par = p; }
   void set_weights(bool tell_transfers) override { weights_tell = tell_transfers; }
-  void set_purges(Sec purge_settles) override { settles = purge_settles; }
   void set_clients(const Clients& c) override { clients = c; }
   void set_list(bool must_ask) override { asks = must_ask; }
   void clock(Sec at) override { now = at; }
@@ -189,8 +187,8 @@
     finish(txns[i]);
   }
   void load_told(int m, double busy) override { member(m).busy = busy; }
-  void purged(std::uint64_t object, Sec ago) override { note_purge(purged_objects, object, ago); }
-  void purged_group(std::uint32_t group, Sec ago) override { note_purge(purged_groups, group, ago); }
+  void copies_since(int i, Sec made) override { txns[i].since = made; }
+  void copies_within(Sec age) override { oldest = age; }
   void woken() override {
     if (now >= woken_for - 1e-6) woken_for = kNever;
   }
@@ -198,7 +196,7 @@
  private:
   std::mt19937 chance_source;
   Sec now = 0, woken_for = kNever, tick_at = 0, halve_at = 0;
-  Sec ask_at = 0, settles = 0;
+  Sec ask_at = 0, oldest = 0;  // oldest: what any copy may be, 0 for no limit
   bool weights_tell = false, asks = false;
   Place place;
   Roles roles;
@@ -226,8 +224,6 @@
   std::vector<int> ready;              // txns that want a decision
   std::vector<Decision> said;
   std::size_t said_from = 0;
-  std::map<std::uint64_t, Sec> purged_objects, purged_groups;
-  Sec purged_all = -kNever;
 
   // ---- the list ----------------------------------------------------------------------------------------
 
@@ -402,35 +398,21 @@
 
   // ---- purges (mechanism 5) ----------------------------------------------------------------------------
 
-  static constexpr std::size_t kMostPurges = 4096;
-
-  void note_purge(std::map<std::uint64_t, Sec>& table, std::uint64_t what, Sec ago) {
-    auto& at = table.try_emplace(what, -kNever).first->second;
-    at = std::max(at, now - ago);
-    if (table.size() <= kMostPurges) return;
-    for (const auto& [other, when] : table) purged_all = std::max(purged_all, when);  // stricter, never laxer
-    table.clear();
-  }
-  void forget_purges(std::map<std::uint64_t, Sec>& table) {
-    std::erase_if(table, [&](const auto& p) { return now - p.second > settles + 1; });
-  }
   // An old copy will do on a further hop, or when so many fills of that source come late that it earns more.
   bool old_will_do(const Txn& t, int source) const {
     const auto& r = rules[t.rule];
     const double late = source < 0 ? 0 : std::max(link.late, members[source].fills.late);
     return r.grace > 0 && (!t.hops.empty() || late * (1 - r.late_share) > 1 - r.old_share);
   }
-  // The oldest copy that will do: 0 for the rule's fresh time, never 0 while a purge settles.
+  // The oldest copy that will do: 0 for the rule's fresh time, never 0 where a purge covers it. It goes with the
+  // hop to its source and to what it joins.
   Sec age_limit(const Txn& t, bool old_will_do) const {
     const auto& r = rules[t.rule];
-    const auto told = [](const auto& table, std::uint64_t what) {
-      const auto it = table.find(what);
-      return it == table.end() ? -kNever : it->second;
-    };
-    const Sec purge = std::max({purged_all, told(purged_objects, t.object), told(purged_groups, t.group)});
     const Sec fresh = r.fresh > 0 && old_will_do ? r.fresh + r.grace : 0;
-    if (now - purge > settles + 1) return fresh;
-    const Sec limit = std::max(0.001, now - purge - 0.005);  // less the ticks between telling and sending
+    if (t.since <= 0 && oldest <= 0) return fresh;
+    const Sec purged = t.since > 0 ? now - t.since : kNever;
+    // Less the ticks between telling and sending.
+    const Sec limit = std::max(0.001, std::min(purged, oldest > 0 ? oldest : kNever) - 0.005);
     const Sec most = fresh > 0 ? fresh : r.fresh;
     return most > 0 ? std::min(most, limit) : limit;
   }
@@ -787,7 +769,6 @@
       if (halve_at > 0) counts.halve();
       halve_at = now + kHalving;
     }
-    for (auto* table : {&purged_objects, &purged_groups}) forget_purges(*table);
     look_for_silence();
     count_warm(kTick);
     // Once; again only after a failed call.
--- a/src/brain.h
+++ b/src/brain.h
@@ -9,9 +9,9 @@
 #include <optional>
 #include <vector>
 
-namespace walkpaddle {
+#include "sec.h"
 
-using Sec = double;
+namespace walkpaddle {
 
 enum class Effect { repeatable, keyed, unrepeatable };
 enum class Group { all, location, cell };     // who drops the repeats of a keyed txn
@@ -27,7 +27,8 @@
   broken,
   called_off,
   not_sent,
-  lacking
+  lacking,
+  too_old  // its copy was older than the hop allowed
 };
 enum class Note {
   none,
@@ -114,7 +115,6 @@
   virtual void set_filling(const Filling&) = 0;
   virtual void set_cold(const ColdStart& caches, const ColdStart& pars) = 0;
   virtual void set_weights(bool tell_transfers) = 0;  // weights are links, in transfers at a client's pace
-  virtual void set_purges(Sec settle) = 0;
   virtual void set_clients(const Clients&) = 0;
   virtual void set_list(bool must_ask) = 0;
 
@@ -132,8 +132,9 @@
   // sending: the answer's own time at a client's pace, by its bytes; 0 where they are not seen
   virtual void hop_ended(int txn, int hop, Verdict verdict, Note note, Sec took, Sec sending,
                          bool txn_over) = 0;
-  virtual void purged(std::uint64_t object, Sec ago) = 0;
-  virtual void purged_group(std::uint32_t group, Sec ago) = 0;
+  // Copies made before are purged, for this txn's object: told with the txn and whenever it moves; 0 for none.
+  virtual void copies_since(int txn, Sec made) = 0;
+  virtual void copies_within(Sec age) = 0;  // no older copy of any object will do; 0 for no limit
   virtual void woken() = 0;
 
   virtual std::optional<Decision> next() = 0;
--- /dev/null
+++ b/src/control/command.cpp
@@ -0,0 +1,143 @@
+#include "control/command.h"
+
+#include <fmt/core.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+
+#include <chrono>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+
+#include "io/fd.h"
+
+namespace walkpaddle::control {
+
+using nlohmann::json;
+
+namespace {
+
+struct NotReached : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Line {
+ public:
+  explicit Line(const std::string& path) : fd_(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_un a{};
+    a.sun_family = AF_UNIX;
+    if (path.size() >= sizeof a.sun_path) throw NotReached("the socket's path is too long");
+    std::strcpy(a.sun_path, path.c_str());
+    if (!fd_ || ::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0)
+      throw NotReached("no router at " + path + ": " + std::strerror(errno));
+  }
+  json ask(const json& what) {
+    const auto text = what.dump() + "\n";
+    if (::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size()))
+      throw NotReached("the router closed the connection");
+    constexpr int kPatience = 5000;  // ms: a router answers between two turns
+    for (std::size_t at; (at = held_.find('\n')) == std::string::npos;) {
+      pollfd p{fd_.get(), POLLIN, 0};
+      if (::poll(&p, 1, kPatience) <= 0) throw NotReached("the router does not answer");
+      char room[16384];
+      const auto got = ::recv(fd_.get(), room, sizeof room, 0);
+      if (got <= 0) throw NotReached("the router closed the connection");
+      held_.append(room, static_cast<std::size_t>(got));
+    }
+    const auto at = held_.find('\n');
+    const auto reply = json::parse(held_.substr(0, at));
+    held_.erase(0, at + 1);
+    return reply;
+  }
+
+ private:
+  Fd fd_;
+  std::string held_;
+};
+
+std::string names(const json& list) {
+  std::string text;
+  for (const auto& name : list) text += (text.empty() ? "" : ", ") + name.get<std::string>();
+  return text.empty() ? "none" : text;
+}
+
+void show(const json& s) {
+  fmt::print(
+      "{}  {} {}  {:.1f} s ago  held by {} of {} routers{}  lacking: {}  boxes that have not confirmed: {}\n",
+      s["number"].get<std::string>(), s["kind"].get<std::string>(), s["what"].get<std::string>(),
+      s["ago_s"].get<double>(), s["holders"].get<int>(), s["routers"].get<int>(),
+      s["accepted"].get<bool>() ? ", accepted" : ", NOT ACCEPTED", names(s["lacking"]),
+      names(s["boxes_unconfirmed"]));
+}
+
+// The library's errors and the router's refusals, each as one plain line.
+template <class F>
+int answered(F&& talk) {
+  try {
+    return talk();
+  } catch (const std::exception& e) {
+    fmt::print(stderr, "walkpaddle: {}\n", e.what());
+    return 1;
+  }
+}
+
+json good(const json& reply) {
+  if (!reply.at("ok").get<bool>()) throw NotReached("refused: " + reply.at("why").get<std::string>());
+  return reply;
+}
+
+}  // namespace
+
+int purge(const std::string& socket, const PurgeAsked& asked) {
+  return answered([&] {
+    using Clock = std::chrono::steady_clock;
+    Line line(socket);
+    auto s = good(line.ask({{"do", "purge"}, {"kind", asked.kind}, {"what", asked.what}}));
+    const auto number = s["number"].get<std::string>();
+    const auto until = Clock::now() + std::chrono::duration<double>(asked.within);
+    const auto done = [&] {
+      return s["accepted"].get<bool>() &&
+             (!asked.wait || (s["lacking"].empty() && s["boxes_unconfirmed"].empty()));
+    };
+    while (!done() && Clock::now() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      s = good(line.ask({{"do", "status"}, {"number", number}}));
+    }
+    show(s);
+    if (done()) return 0;
+    fmt::print(stderr, "walkpaddle: not {} within {:.0f} s; it stands and goes on, see 'purge status {}'\n",
+               s["accepted"].get<bool>() ? "confirmed by all" : "accepted", asked.within, number);
+    return 1;
+  });
+}
+
+int purge_status(const std::string& socket, const std::string& number) {
+  return answered([&] {
+    Line line(socket);
+    if (!number.empty()) {
+      show(good(line.ask({{"do", "status"}, {"number", number}})));
+      return 0;
+    }
+    const auto s = good(line.ask({{"do", "status"}}));
+    const auto ago = [](const json& v) {
+      return v.is_null() ? std::string("never") : fmt::format("{:.2f} s ago", v.get<double>());
+    };
+    fmt::print("book {}: complete with a majority {}; promised delay {:.2f} s\n",
+               s["trusted"].get<bool>() ? "trusted" : "NOT TRUSTED", ago(s["complete_s_ago"]),
+               s["delay_s"].get<double>());
+    if (s["age_limit_s"].get<double>() > 0)
+      fmt::print("every copy older than {:.2f} s is refused until the book is trusted again\n",
+                 s["age_limit_s"].get<double>());
+    fmt::print("{} purges held, {} in force\n", s["held"].get<std::size_t>(),
+               s["in_force"].get<std::size_t>());
+    for (const auto& p : s["peers"])
+      fmt::print("peer {}: {}, complete {}\n", p["name"].get<std::string>(),
+                 p["connected"].get<bool>() ? "connected" : "NOT CONNECTED", ago(p["complete_s_ago"]));
+    for (const auto& e : s["latest"]) show(e);
+    return 0;
+  });
+}
+
+}  // namespace walkpaddle::control
--- /dev/null
+++ b/src/control/command.h
@@ -0,0 +1,19 @@
+// The operators' commands that talk to a running router, from their own process: blocking, with a time.
+// Exit codes: 0 done, 1 refused or not reached, 2 wrong use.
+#pragma once
+
+#include <string>
+
+#include "sec.h"
+
+namespace walkpaddle::control {
+
+struct PurgeAsked {
+  std::string kind, what;
+  bool wait = false;  // until every router holds it and every box has confirmed it
+  Sec within = 10;
+};
+int purge(const std::string& socket, const PurgeAsked& asked);
+int purge_status(const std::string& socket, const std::string& number);  // empty: of the router
+
+}  // namespace walkpaddle::control
--- /dev/null
+++ b/src/control/file.cpp
@@ -0,0 +1,168 @@
+#include "control/file.h"
+
+#include <confuse.h>
+
+#include <cstdarg>
+#include <cstdio>
+#include <memory>
+#include <set>
+
+#include "io/stream.h"
+#include "text.h"
+
+namespace walkpaddle::control {
+
+namespace {
+
+thread_local std::string first_error;  // the library calls back without a place for our own
+
+void keep_error(cfg_t* cfg, const char* form, va_list args) {
+  if (!first_error.empty()) return;
+  char text[300];
+  std::vsnprintf(text, sizeof text, form, args);
+  first_error = std::string(cfg != nullptr && cfg->filename != nullptr ? cfg->filename : "?") + ":" +
+                std::to_string(cfg != nullptr ? cfg->line : 0) + ": " + text;
+}
+
+template <int least, int most>
+int within(cfg_t* cfg, cfg_opt_t* opt) {
+  const double value = cfg_opt_size(opt) == 0 ? least
+                       : opt->type == CFGT_FLOAT
+                           ? cfg_opt_getnfloat(opt, cfg_opt_size(opt) - 1)
+                           : static_cast<double>(cfg_opt_getnint(opt, cfg_opt_size(opt) - 1));
+  if (value >= least && value <= most) return 0;
+  cfg_error(cfg, "%s is %g, expected %d to %d", opt->name, value, least, most);
+  return -1;
+}
+
+int lease_within(cfg_t* cfg, cfg_opt_t* opt) {
+  constexpr double kLeast = 0.2, kMost = 600;
+  const double value = cfg_opt_getnfloat(opt, 0);
+  if (value >= kLeast && value <= kMost) return 0;
+  cfg_error(cfg, "%s is %g, expected %g to %g seconds", opt->name, value, kLeast, kMost);
+  return -1;
+}
+
+int address_reads(cfg_t* cfg, cfg_opt_t* opt) {
+  try {
+    parse_address(cfg_opt_getnstr(opt, 0));
+    return 0;
+  } catch (const Malformed&) {
+    cfg_error(cfg, "%s is '%s', expected a.b.c.d:port", opt->name, cfg_opt_getnstr(opt, 0));
+    return -1;
+  }
+}
+
+int one_alone(cfg_t* cfg, cfg_opt_t* opt) {
+  if (cfg_opt_size(opt) <= 1) return 0;
+  cfg_error(cfg, "a second section '%s', expected one", opt->name);
+  return -1;
+}
+
+int form_known(cfg_t* cfg, cfg_opt_t* opt) {
+  const std::string_view form = cfg_opt_getnstr(opt, 0);
+  if (form == "text" || form == "json") return 0;
+  cfg_error(cfg, "form is '%s', expected text or json", cfg_opt_getnstr(opt, 0));
+  return -1;
+}
+
+std::string text_of(cfg_t* cfg, const char* name) {
+  const char* text = cfg_getstr(cfg, name);
+  return text == nullptr ? "" : text;
+}
+
+[[noreturn]] void refuse(const std::string& path, cfg_t* section, const std::string& why) {
+  throw Malformed(path + ":" + std::to_string(section->line) + ": " + why);
+}
+
+}  // namespace
+
+File read_file(const std::string& path) {
+  cfg_opt_t peer[] = {CFG_STR("address", nullptr, CFGF_NODEFAULT), CFG_END()};
+  cfg_opt_t fleet[] = {CFG_STR("name", nullptr, CFGF_NODEFAULT),
+                       CFG_STR("listen", nullptr, CFGF_NODEFAULT),
+                       CFG_FLOAT("lease", 2, CFGF_NONE),
+                       CFG_FLOAT("beat", 0, CFGF_NONE),
+                       CFG_INT("copy_life", 86400, CFGF_NONE),
+                       CFG_INT("entries", 65536, CFGF_NONE),
+                       CFG_INT("objects", 16384, CFGF_NONE),
+                       CFG_SEC("peer", peer, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
+                       CFG_END()};
+  cfg_opt_t store[] = {CFG_STR("folder", nullptr, CFGF_NODEFAULT), CFG_INT("megabytes", 256, CFGF_NONE),
+                       CFG_END()};
+  cfg_opt_t control[] = {CFG_STR("socket", nullptr, CFGF_NODEFAULT), CFG_END()};
+  cfg_opt_t boxes[] = {CFG_BOOL("tell_purges", cfg_false, CFGF_NONE), CFG_END()};
+  cfg_opt_t log[] = {CFG_STR("form", "text", CFGF_NONE), CFG_END()};
+  cfg_opt_t all[] = {CFG_SEC("fleet", fleet, CFGF_MULTI),     CFG_SEC("store", store, CFGF_MULTI),
+                     CFG_SEC("control", control, CFGF_MULTI), CFG_SEC("boxes", boxes, CFGF_MULTI),
+                     CFG_SEC("log", log, CFGF_MULTI),         CFG_END()};
+  const std::unique_ptr<cfg_t, decltype(&cfg_free)> owned(cfg_init(all, CFGF_NONE), &cfg_free);
+  cfg_t* cfg = owned.get();
+  first_error.clear();
+  cfg_set_error_function(cfg, keep_error);
+  for (const char* section : {"fleet", "store", "control", "boxes", "log"})
+    cfg_set_validate_func(cfg, section, one_alone);
+  cfg_set_validate_func(cfg, "fleet|listen", address_reads);
+  cfg_set_validate_func(cfg, "fleet|peer|address", address_reads);
+  cfg_set_validate_func(cfg, "fleet|lease", lease_within);
+  cfg_set_validate_func(cfg, "fleet|copy_life", within<1, 30 * 86400>);
+  cfg_set_validate_func(cfg, "fleet|entries", within<16, 4'000'000>);
+  cfg_set_validate_func(cfg, "fleet|objects", within<16, 4'000'000>);
+  cfg_set_validate_func(cfg, "store|megabytes", within<1, 65536>);
+  cfg_set_validate_func(cfg, "log|form", form_known);
+  const int got = cfg_parse(cfg, path.c_str());
+  if (got == CFG_FILE_ERROR) throw Malformed("cannot read " + path);
+  if (got != CFG_SUCCESS) throw Malformed(first_error.empty() ? path + ": cannot be read" : first_error);
+
+  File f;
+  if (cfg_size(cfg, "fleet") > 0) {
+    auto* s = cfg_getnsec(cfg, "fleet", 0);
+    auto& to = f.fleet;
+    to.on = true;
+    to.name = text_of(s, "name"), to.listen = text_of(s, "listen");
+    if (to.name.empty()) refuse(path, s, "fleet without name");
+    if (to.listen.empty()) refuse(path, s, "fleet without listen");
+    to.lease = cfg_getfloat(s, "lease");
+    to.beat = cfg_getfloat(s, "beat") > 0 ? cfg_getfloat(s, "beat") : to.lease / 5;
+    if (to.beat > to.lease / 2)
+      refuse(path, s, "beat is more than half of lease: each lost one would cost trust");
+    to.copy_life = static_cast<Sec>(cfg_getint(s, "copy_life"));
+    to.entries = static_cast<int>(cfg_getint(s, "entries")),
+    to.objects = static_cast<int>(cfg_getint(s, "objects"));
+    std::set<std::string> names{to.name}, addresses{to.listen};
+    constexpr unsigned kMostPeers = 256;
+    if (cfg_size(s, "peer") > kMostPeers) refuse(path, s, "more than 256 peers");
+    for (unsigned n = 0; n < cfg_size(s, "peer"); ++n) {
+      auto* p = cfg_getnsec(s, "peer", n);
+      to.peers.push_back({cfg_title(p), text_of(p, "address")});
+      if (to.peers.back().address.empty()) refuse(path, p, "peer without address");
+      if (!names.insert(to.peers.back().name).second)
+        refuse(path, p, "a second router named " + to.peers.back().name);
+      if (!addresses.insert(to.peers.back().address).second)
+        refuse(path, p, "a second router at " + to.peers.back().address);
+    }
+  }
+  if (cfg_size(cfg, "store") > 0) {
+    auto* s = cfg_getnsec(cfg, "store", 0);
+    f.store_folder = text_of(s, "folder");
+    f.store_megabytes = static_cast<int>(cfg_getint(s, "megabytes"));
+    if (f.store_folder.empty()) refuse(path, s, "store without folder");
+    if (!f.fleet.on) refuse(path, s, "store without fleet: there is nothing to keep");
+  }
+  if (cfg_size(cfg, "control") > 0) {
+    auto* s = cfg_getnsec(cfg, "control", 0);
+    f.socket = text_of(s, "socket");
+    constexpr std::size_t kLongestPath = 100;  // the system's own bound is 107
+    if (f.socket.empty()) refuse(path, s, "control without socket");
+    if (f.socket.size() > kLongestPath) refuse(path, s, "socket: a path of more than 100 bytes");
+  }
+  if (cfg_size(cfg, "boxes") > 0) {
+    auto* s = cfg_getnsec(cfg, "boxes", 0);
+    f.tell_boxes = cfg_getbool(s, "tell_purges") == cfg_true;
+    if (f.tell_boxes && !f.fleet.on) refuse(path, s, "tell_purges without fleet");
+  }
+  if (cfg_size(cfg, "log") > 0) f.log_json = text_of(cfg_getnsec(cfg, "log", 0), "form") == "json";
+  return f;
+}
+
+}  // namespace walkpaddle::control
--- /dev/null
+++ b/src/control/file.h
@@ -0,0 +1,33 @@
+// The operator's file: what an installation permits and the platform's configuration does not tell. Read
+// whole and checked whole; a file that cannot be used is Malformed with its name, line and what was expected.
+// An absent section is switched off.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "sec.h"
+
+namespace walkpaddle::control {
+
+struct File {
+  struct Peer {
+    std::string name, address;
+  };
+  struct Fleet {
+    bool on = false;
+    std::string name, listen;
+    std::vector<Peer> peers;
+    Sec lease = 2, beat = 0.4, copy_life = 86400;
+    int entries = 65536, objects = 16384;
+  } fleet;
+  std::string store_folder;  // empty: all in memory
+  int store_megabytes = 256;
+  std::string socket;  // of the operators; empty: none
+  bool tell_boxes = false;
+  bool log_json = false;
+};
+
+File read_file(const std::string& path);
+
+}  // namespace walkpaddle::control
--- /dev/null
+++ b/src/control/operators.cpp
@@ -0,0 +1,186 @@
+#include "control/operators.h"
+
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <system_error>
+
+#include "settings.h"
+#include "text.h"
+
+namespace walkpaddle::control {
+
+using nlohmann::json;
+
+namespace {
+
+Fd listen_at(const std::string& path) {
+  sockaddr_un a{};
+  a.sun_family = AF_UNIX;
+  if (path.size() >= sizeof a.sun_path) throw std::system_error(ENAMETOOLONG, std::generic_category(), path);
+  std::strcpy(a.sun_path, path.c_str());
+  const auto* address = reinterpret_cast<const sockaddr*>(&a);
+  Fd fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) throw std::system_error(errno, std::generic_category(), "socket");
+  if (::connect(fd.get(), address, sizeof a) == 0)
+    throw std::system_error(EADDRINUSE, std::generic_category(), "operators' socket " + path);
+  struct stat s {};
+  if (::stat(path.c_str(), &s) == 0 && S_ISSOCK(s.st_mode)) ::unlink(path.c_str());
+  const auto before = ::umask(0177);
+  const bool good = ::bind(fd.get(), address, sizeof a) == 0 && ::listen(fd.get(), 16) == 0;
+  const int why = errno;
+  ::umask(before);
+  if (!good) throw std::system_error(why, std::generic_category(), "operators' socket " + path);
+  return fd;
+}
+
+json refused(const std::string& why) { return {{"ok", false}, {"why", why}}; }
+
+}  // namespace
+
+Operators::Operators(Scheduler& scheduler, Outbox& outbox, Log& log, fleet::Purges& purges, std::string path,
+                     Names names)
+    : scheduler_(scheduler),
+      outbox_(outbox),
+      log_(log),
+      purges_(purges),
+      path_(std::move(path)),
+      names_(std::move(names)),
+      listener_(scheduler, listen_at(path_)) {
+  scheduler_.start(accept_all());
+}
+
+Operators::~Operators() { ::unlink(path_.c_str()); }
+
+Task Operators::accept_all() {
+  constexpr std::size_t kMost = 8;  // operators at once; another is closed unheard
+  constexpr Sec kPause = 0.1;
+  while (listener_.open()) {
+    Fd fd = listener_.accept();
+    if (fd) {
+      if (sessions_ < kMost) scheduler_.start(session(std::move(fd)));
+      continue;
+    }
+    if (errno == EINTR || errno == ECONNABORTED) continue;
+    const Sec until = errno == EAGAIN ? kNoTime : scheduler_.now() + kPause;
+    co_await listener_.came.wait(until);
+  }
+}
+
+Task Operators::session(Fd fd) {
+  constexpr std::size_t kLongestLine = 4096;
+  constexpr Sec kIdle = 60;
+  struct Count {
+    std::size_t& count;
+    ~Count() { --count; }
+  } count{++sessions_};
+  Stream stream(scheduler_, outbox_, std::move(fd));
+  for (;;) {
+    const auto came = stream.read();
+    if (came == Stream::Came::end) break;
+    if (came == Stream::Came::bytes) {
+      for (std::size_t at; (at = stream.in().find('\n')) != std::string_view::npos; stream.consume(at + 1))
+        stream.write(answer(std::string(stream.in().substr(0, at))) + "\n");
+      if (stream.in().size() > kLongestLine) break;
+      continue;
+    }
+    const bool told = co_await stream.readable(scheduler_.now() + kIdle);
+    if (!told) break;
+  }
+}
+
+std::string Operators::number_text(const purge::Stamp& s) const {
+  if (s.issuer == purges_.setup().self) return names_.self + ":" + std::to_string(s.number);
+  char issuer[24];
+  std::snprintf(issuer, sizeof issuer, "%016llx", static_cast<unsigned long long>(s.issuer));
+  return std::string(issuer) + ":" + std::to_string(s.number);
+}
+
+const purge::Entry* Operators::entry_of(const std::string& number) const {
+  auto rest = std::string_view(number);
+  auto issuer = purges_.setup().self;
+  if (number.find(':') != std::string::npos)
+    if (const auto who = cut(rest, ':'); who != names_.self) issuer = parse<std::uint64_t>(who, "issuer", 16);
+  return purges_.book().find(issuer, parse<std::uint64_t>(rest, "number of a purge"));
+}
+
+std::string Operators::answer(const std::string& line) {
+  const Sec now = scheduler_.now();
+  const auto standing = [&](const purge::Entry& e) {
+    const auto s = purges_.standing(e);
+    json lacking = json::array(), unconfirmed = json::array();
+    for (const int p : s.lacking) lacking.push_back(names_.peers[static_cast<std::size_t>(p)]);
+    for (const int b : s.unconfirmed) unconfirmed.push_back(names_.box(b));
+    return json{{"number", number_text(e.stamp)},
+                {"kind", fleet::kKindNames[static_cast<int>(e.kind)]},
+                {"what", e.what},
+                {"ago_s", now - e.from},
+                {"holders", s.holders},
+                {"routers", s.routers},
+                {"accepted", s.accepted},
+                {"lacking", lacking},
+                {"boxes_unconfirmed", unconfirmed}};
+  };
+  try {
+    const auto asked = json::parse(line);
+    const auto what = asked.at("do").get<std::string>();
+    const auto* sync = purges_.sync();
+    if (sync == nullptr) return refused("this router has no fleet: section fleet is not in its file").dump();
+    if (what == "purge") {
+      const auto kind = fleet::kind_of(asked.at("kind").get<std::string>());
+      auto name = asked.value("what", std::string());
+      if (!kind) return refused("no such kind of purge").dump();
+      if (const auto why = purges_.refusal(*kind, name)) return refused(*why).dump();
+      const auto& e = purges_.issue(*kind, std::move(name), now);
+      log_("purge", "{} issued here: {} {}", number_text(e.stamp),
+           fleet::kKindNames[static_cast<int>(e.kind)], e.what);
+      auto reply = standing(e);
+      reply["ok"] = true;
+      return reply.dump();
+    }
+    if (what == "status" && asked.contains("number")) {
+      const auto* e = entry_of(asked["number"].get<std::string>());
+      if (e == nullptr) return refused("no such purge here: never issued, or older than any copy").dump();
+      auto reply = standing(*e);
+      reply["ok"] = true;
+      return reply.dump();
+    }
+    if (what == "status") {
+      const Sec at = sync->trusted_at(now);
+      json latest = json::array(), peers = json::array();
+      constexpr std::size_t kLatest = 20;
+      const auto& entries = purges_.book().entries();
+      for (auto e = entries.rbegin(); e != entries.rend() && latest.size() < kLatest; ++e)
+        latest.push_back(standing(e->second));
+      for (std::size_t n = 0; n < names_.peers.size(); ++n) {
+        const auto& p = sync->peers()[n];
+        peers.push_back({{"name", names_.peers[n]},
+                         {"connected", p.up},
+                         {"complete_s_ago", p.complete_at > 0 ? json(now - p.complete_at) : json(nullptr)}});
+      }
+      return json{{"ok", true},
+                  {"trusted", sync->trusted(now)},
+                  {"complete_s_ago", at > 0 ? json(std::max(0.0, now - at)) : json(nullptr)},
+                  {"delay_s", purges_.delay()},
+                  {"age_limit_s", purges_.age_limit(now)},
+                  {"held", purges_.book().size()},
+                  {"in_force", purges_.in_force()},
+                  {"peers", peers},
+                  {"latest", latest}}
+          .dump();
+    }
+    return refused("no such request: " + what.substr(0, 60)).dump();
+  } catch (const json::exception& e) {
+    return refused(std::string("a request that cannot be read: ") + e.what())
+        .dump(-1, ' ', false, json::error_handler_t::replace);
+  } catch (const Malformed& e) {
+    return refused(e.what()).dump(-1, ' ', false, json::error_handler_t::replace);
+  }
+}
+
+}  // namespace walkpaddle::control
--- /dev/null
+++ b/src/fleet/wire.cpp
@@ -0,0 +1,176 @@
+#include "fleet/wire.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <cmath>
+#include <cstring>
+
+#include "fleet/fleet.capnp.h"
+#include "text.h"
+
+namespace walkpaddle::fleet {
+
+namespace {
+
+std::string flat(capnp::MallocMessageBuilder& message) {
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+std::string framed(capnp::MallocMessageBuilder& message) {
+  const auto text = flat(message);
+  std::string out;
+  for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(text.size() >> shift & 255);
+  return out + text;
+}
+
+Sec time_of(double value) {
+  if (!std::isfinite(value) || value < 0 || value > 1e11) bad("time", std::to_string(value));
+  return value;
+}
+
+std::string_view text_of(const capnp::Text::Reader& text) { return {text.begin(), text.size()}; }
+
+Kind kind_of(int number) {
+  if (number >= purge::kKinds) bad("kind of purge", std::to_string(number));
+  return static_cast<Kind>(number);
+}
+
+std::string_view what_of(const schema::Entry::Reader& e) {
+  const auto what = text_of(e.getWhat());
+  if (what.size() > purge::kLongest) bad("purge of length", std::to_string(what.size()));
+  if (e.getNumber() == 0) bad("number", "0");
+  return what;
+}
+
+// Calls `read` with the root of the flat message in `bytes`; the library's exceptions become Malformed.
+template <class T, class F>
+auto reading(std::string_view bytes, F&& read) {
+  // An aligned copy: the library reads words in place.
+  std::vector<capnp::word> words((bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
+  std::memcpy(static_cast<void*>(words.data()), bytes.data(), bytes.size());
+  capnp::ReaderOptions bounds;
+  bounds.traversalLimitInWords = 4 * kLargestMessage / sizeof(capnp::word);
+  bounds.nestingLimit = 8;
+  try {
+    capnp::FlatArrayMessageReader reader({words.data(), words.size()}, bounds);
+    return read(reader.getRoot<T>());
+  } catch (const kj::Exception& e) {
+    throw Malformed(std::string("a message that cannot be read: ") + e.getDescription().cStr());
+  }
+}
+
+void hand_on(const schema::Message::Reader& m, Messages& into) {
+  switch (m.which()) {
+    case schema::Message::HELLO:
+      return into.hello(m.getHello().getVersion(), text_of(m.getHello().getName()));
+    case schema::Message::BEAT: {
+      const auto beat = m.getBeat();
+      const Sec theirs = time_of(beat.getTime()), echo = time_of(beat.getEcho());
+      const auto heads = beat.getHeads();
+      for (const auto h : heads) {
+        time_of(h.getGivenUpAgo());
+        if (h.getBase() > h.getNumber()) bad("head", std::to_string(h.getNumber()));
+      }
+      into.beat(theirs, echo, beat.getWhole());
+      for (const auto h : heads) into.head(h.getIssuer(), h.getNumber(), h.getBase(), h.getGivenUpAgo());
+      return into.beat_end();
+    }
+    case schema::Message::ENTRY: {
+      const auto e = m.getEntry();
+      const auto what = what_of(e);
+      return into.entry({time_of(e.getAt()), e.getIssuer(), e.getNumber()}, kind_of(e.getKind()), what);
+    }
+    case schema::Message::WANT:
+      return into.want(m.getWant().getIssuer(), m.getWant().getFrom());
+  }
+  // A newer router's: passed over.
+}
+
+void put(schema::Entry::Builder b, const Entry& e) {
+  b.setAt(e.stamp.at);
+  b.setIssuer(e.stamp.issuer);
+  b.setNumber(e.stamp.number);
+  b.setKind(static_cast<std::uint8_t>(e.kind));
+  b.setWhat(e.what.c_str());
+}
+
+}  // namespace
+
+std::size_t read_message(std::string_view bytes, Messages& into) {
+  constexpr std::size_t kHead = 4;
+  if (bytes.size() < kHead) return 0;
+  std::size_t length = 0;
+  for (std::size_t n = 0; n < kHead; ++n) length = length << 8 | static_cast<unsigned char>(bytes[n]);
+  if (length == 0 || length > kLargestMessage || length % sizeof(capnp::word) != 0)
+    bad("message length", std::to_string(length));
+  if (bytes.size() < kHead + length) return 0;
+  reading<schema::Message>(bytes.substr(kHead, length),
+                           [&](const schema::Message::Reader& m) { hand_on(m, into); });
+  return kHead + length;
+}
+
+std::string hello_message(std::string_view name) {
+  capnp::MallocMessageBuilder message;
+  auto hello = message.initRoot<schema::Message>().initHello();
+  hello.setVersion(kVersion);
+  hello.setName(std::string(name).c_str());
+  return framed(message);
+}
+
+std::string beat_message(const purge::Book& book, const Sync& sync, Sec now, Sec echo) {
+  capnp::MallocMessageBuilder message;
+  auto beat = message.initRoot<schema::Message>().initBeat();
+  beat.setTime(now);
+  beat.setEcho(echo);
+  beat.setWhole(sync.whole());
+  auto heads = beat.initHeads(static_cast<unsigned>(book.runs().size()));
+  unsigned n = 0;
+  for (const auto& [issuer, run] : book.runs()) {
+    auto head = heads[n++];
+    head.setIssuer(issuer);
+    head.setNumber(sync.held(issuer));
+    head.setBase(std::min(run.base, sync.held(issuer)));
+    head.setGivenUpAgo(run.given_up > 0 ? std::max(1e-6, now - run.given_up) : 0);
+  }
+  return framed(message);
+}
+
+std::string entry_message(const Entry& e) {
+  capnp::MallocMessageBuilder message;
+  put(message.initRoot<schema::Message>().initEntry(), e);
+  return framed(message);
+}
+
+std::string want_message(std::uint64_t issuer, std::uint64_t from) {
+  capnp::MallocMessageBuilder message;
+  auto want = message.initRoot<schema::Message>().initWant();
+  want.setIssuer(issuer);
+  want.setFrom(from);
+  return framed(message);
+}
+
+std::string stored_text(const Entry& e) {
+  capnp::MallocMessageBuilder message;
+  auto entry = message.initRoot<schema::Entry>();
+  put(entry, e);
+  entry.setFrom(e.from);
+  entry.setPlace(e.place);
+  return flat(message);
+}
+
+Entry stored_entry(std::string_view bytes) {
+  return reading<schema::Entry>(bytes, [](const schema::Entry::Reader& e) {
+    const auto what = what_of(e);
+    return Entry{{time_of(e.getAt()), e.getIssuer(), e.getNumber()},
+                 kind_of(e.getKind()),
+                 std::string(what),
+                 time_of(e.getFrom()),
+                 e.getPlace()};
+  });
+}
+
+}  // namespace walkpaddle::fleet
--- /dev/null
+++ b/src/fleet/wire.h
@@ -0,0 +1,46 @@
+// The messages between routers as bytes, and the entries of the store. No I/O. A message stands behind its
+// length, four bytes, big end first. What cannot be read is Malformed; nothing of it is handed on.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet/sync.h"
+
+namespace walkpaddle::fleet {
+
+using purge::Kind, purge::Stamp;
+
+constexpr int kVersion = 1;
+constexpr std::size_t kLargestMessage = 64 * 1024;  // a beat with the heads of a thousand issuers
+
+// Where the decoded fields go.
+class Messages {
+ public:
+  virtual void hello(int version, std::string_view name) = 0;
+  virtual void beat(Sec theirs, Sec echo, bool whole) = 0;
+  virtual void head(std::uint64_t issuer, std::uint64_t number, std::uint64_t base, Sec given_up_ago) = 0;
+  virtual void beat_end() = 0;
+  virtual void entry(const Stamp& stamp, Kind kind, std::string_view what) = 0;
+  virtual void want(std::uint64_t issuer, std::uint64_t from) = 0;
+
+ protected:
+  ~Messages() = default;
+};
+
+// One message at the front of `bytes`; gives the bytes taken, 0 while it is not whole.
+std::size_t read_message(std::string_view bytes, Messages& into);
+
+std::string hello_message(std::string_view name);
+std::string beat_message(const purge::Book& book, const Sync& sync, Sec now, Sec echo);
+std::string entry_message(const Entry& entry);
+std::string want_message(std::uint64_t issuer, std::uint64_t from);
+
+// An entry as it stands in the store, with `from` and its place; read back it is handed to `take`.
+std::string stored_text(const Entry& entry);
+Entry stored_entry(std::string_view bytes);  // Malformed if it cannot be read
+
+}  // namespace walkpaddle::fleet
--- a/src/net/fd.h
+++ b/src/io/fd.h
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace walkpaddle::net {
+namespace walkpaddle {
 
 class Fd {
  public:
@@ -25,4 +25,4 @@
   int fd_ = -1;
 };
 
-}  // namespace walkpaddle::net
+}  // namespace walkpaddle
--- /dev/null
+++ b/src/io/listener.h
@@ -0,0 +1,36 @@
+// A listening socket and the word that somebody waits there.
+#pragma once
+
+#include <utility>
+
+#include "io/fd.h"
+#include "io/scheduler.h"
+
+namespace walkpaddle {
+
+class Listener final : Scheduler::Watcher {
+ public:
+  Listener(Scheduler& scheduler, Fd fd) : came(scheduler), scheduler_(scheduler), fd_(std::move(fd)) {
+    scheduler_.watch(fd_.get(), *this);
+  }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+  ~Listener() { close(); }
+  void close() {
+    if (!fd_) return;
+    scheduler_.forget(fd_.get(), *this);
+    fd_ = Fd();
+    came.set();
+  }
+  bool open() const { return static_cast<bool>(fd_); }
+  Fd accept();  // the next that waits; invalid with errno if there is none or none can be had
+
+  Event came;
+
+ private:
+  void on_ready(std::uint32_t) override { came.set(); }
+  Scheduler& scheduler_;
+  Fd fd_;
+};
+
+}  // namespace walkpaddle
--- a/src/net/log.h
+++ b/src/io/log.h
@@ -1,21 +1,29 @@
-// A small logger to standard error. Lines of one kind are bounded: past a few a second they are counted, and
-// the count stands in the next one that is written.
+// Lines to standard error, by spdlog: as text, or as JSON objects of one line (time, level, part, event,
+// fields). Lines of one kind are bounded: past a few a second they are counted, and the count stands in the
+// next one that is written.
 #pragma once
 
 #include <fmt/core.h>
 
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "brain.h"
+#include "sec.h"
 
-namespace walkpaddle::net {
+namespace spdlog {
+class logger;
+}
+
+namespace walkpaddle {
 
 class Log {
  public:
-  explicit Log(std::string name) : name_(std::move(name)) {}
+  enum class Form { text, json };
+  explicit Log(std::string name, Form form = Form::text);
+  ~Log();
 
   template <class... Args>
   void operator()(std::string_view kind, fmt::format_string<Args...> form, Args&&... args) {
@@ -31,8 +39,10 @@
   int admit(std::string_view kind);  // lines left out before this one, -1 if it is left out too
   void write(std::string_view kind, const std::string& text, int left_out);
 
-  std::string name_;
+  const std::string name_;
+  const Form form_;
+  std::unique_ptr<spdlog::logger> out_;
   std::map<std::string, Kind, std::less<>> kinds_;
 };
 
-}  // namespace walkpaddle::net
+}  // namespace walkpaddle
--- a/src/net/scheduler.cpp
+++ b/src/io/scheduler.cpp
@@ -1,4 +1,4 @@
-#include "net/scheduler.h"
+#include "io/scheduler.h"
 
 #include <sys/epoll.h>
 
@@ -8,7 +8,7 @@
 #include <cmath>
 #include <system_error>
 
-namespace walkpaddle::net {
+namespace walkpaddle {
 
 namespace {
 
@@ -129,4 +129,4 @@
   }
 }
 
-}  // namespace walkpaddle::net
+}  // namespace walkpaddle
--- a/src/net/scheduler.h
+++ b/src/io/scheduler.h
@@ -11,11 +11,11 @@
 #include <utility>
 #include <vector>
 
-#include "brain.h"
-#include "net/fd.h"
-#include "net/task.h"
+#include "io/fd.h"
+#include "io/task.h"
+#include "sec.h"
 
-namespace walkpaddle::net {
+namespace walkpaddle {
 
 class Scheduler;
 
@@ -99,4 +99,4 @@
   std::vector<Watcher*> told_;  // this turn's; null: forgotten since
 };
 
-}  // namespace walkpaddle::net
+}  // namespace walkpaddle
--- a/src/net/stream.cpp
+++ b/src/io/stream.cpp
@@ -1,4 +1,4 @@
-#include "net/stream.h"
+#include "io/stream.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -10,9 +10,10 @@
 #include <system_error>
 #include <utility>
 
+#include "io/listener.h"
 #include "text.h"
 
-namespace walkpaddle::net {
+namespace walkpaddle {
 
 namespace {
 
@@ -55,6 +56,8 @@
   return fd;
 }
 
+Fd Listener::accept() { return Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)); }
+
 Fd dial(const Address& address) {
   Fd fd = new_socket();
   if (!fd) return fd;
@@ -161,4 +164,4 @@
   writable_.set();
 }
 
-}  // namespace walkpaddle::net
+}  // namespace walkpaddle
--- a/src/net/stream.h
+++ b/src/io/stream.h
@@ -8,10 +8,10 @@
 #include <string_view>
 #include <vector>
 
-#include "net/fd.h"
-#include "net/scheduler.h"
+#include "io/fd.h"
+#include "io/scheduler.h"
 
-namespace walkpaddle::net {
+namespace walkpaddle {
 
 struct Address {
   std::uint32_t ip = 0;  // host order
@@ -88,4 +88,4 @@
   bool queued_ = false, blocked_ = false, broken_ = false;
 };
 
-}  // namespace walkpaddle::net
+}  // namespace walkpaddle
--- a/src/net/task.h
+++ b/src/io/task.h
@@ -5,7 +5,7 @@
 #include <exception>
 #include <utility>
 
-namespace walkpaddle::net {
+namespace walkpaddle {
 
 class Task {
  public:
@@ -33,4 +33,4 @@
   std::coroutine_handle<promise_type> handle_;
 };
 
-}  // namespace walkpaddle::net
+}  // namespace walkpaddle
--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -6,12 +6,15 @@
 #include <cstring>
 
 #include "net/resp.h"
+#include "settings.h"
 #include "text.h"
 
 namespace walkpaddle::net {
 
 struct Connection {
-  Connection(Scheduler& scheduler, Outbox& outbox, Fd fd) : stream(scheduler, outbox, std::move(fd)) {}
+  Connection(Scheduler& scheduler, Outbox& outbox, Fd fd, int m)
+      : member(m), stream(scheduler, outbox, std::move(fd)) {}
+  const int member;
   Stream stream;
   bool up = false;
   bool silent = false;  // a hop timed out with nothing heard since it was written: no new ones
@@ -141,12 +144,13 @@
     drop_unsent([&](const Hop& h) { return h.what_.member == member || h.what_.source == member; });
 }
 
-void Caches::purged(std::uint64_t object) {
-  drop_unsent([&](const Hop& h) { return h.what_.object == object; });
-}
-
-void Caches::purged_group(std::uint32_t group) {
-  drop_unsent([&](const Hop& h) { return h.what_.group == group; });
+bool Caches::command(int member, std::string_view text) {
+  auto& p = peer(member);
+  if (p.state == Listed::gone) return false;
+  for (auto* c : p.connections)
+    if (c->up && !c->silent) return c->stream.write(text), true;
+  if (p.dialing == 0) scheduler_.start(connection(member));
+  return false;
 }
 
 void Caches::start(Hop& hop) {
@@ -276,7 +280,7 @@
     dial_failed(p, std::strerror(why));
     co_return;
   }
-  Connection c(scheduler_, outbox_, std::move(fd));
+  Connection c(scheduler_, outbox_, std::move(fd), member);
   struct Place {
     Peer& peer;
     Connection& connection;
@@ -328,6 +332,7 @@
     }
   }
   c.up = false;
+  if (commands_ != nullptr) commands_->connection_lost(member);
   if (!why.empty() && c.live > 0) log_("connection", "{}: {}, {} hops out", p.id, why, c.live);
   for (auto& [id, hop] : std::exchange(c.open, {}))
     if (hop != nullptr)
@@ -355,6 +360,7 @@
 
 void Caches::answer(Connection& c, const std::vector<std::string_view>& words) {
   if (words.size() < 2) bad("answer", "");
+  if (commands_ != nullptr && words[0] == "purges") return commands_->command_answered(c.member, words);
   const auto id = parse<std::uint64_t>(words[0], "id", 16);
   const auto verdict = choose<int>(words[1],
                                    {{"served", static_cast<int>(Verdict::completed)},
@@ -378,6 +384,7 @@
                                   {"crowded", Note::no_fill_place},
                                   {"behind", Note::origin_failed}},
                                  Note::none);
+  constexpr std::size_t kMostTags = 32;  // more than are remembered of an object
   const auto etag = field(fields, "etag").value_or("");
   const auto it = c.open.find(id);
   if (it == c.open.end()) return;
@@ -392,6 +399,11 @@
   end.note = note;
   end.still_good = words[1] == "still_good";
   end.etag = etag;
+  if (const auto age = field(fields, "age")) end.age = std::max(0.0, parse<double>(*age, "age") / 1e3);
+  if (auto tags = field(fields, "tags")) {
+    end.tags_told = true;
+    while (!tags->empty() && end.tags.size() < kMostTags) end.tags.push_back(stable_hash(cut(*tags, '+')));
+  }
   if (words.size() > 3) end.body = words[3];
   hop->finish(static_cast<Verdict>(verdict));
 }
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "brain.h"
-#include "net/log.h"
-#include "net/scheduler.h"
-#include "net/stream.h"
+#include "io/log.h"
+#include "io/scheduler.h"
+#include "io/stream.h"
 
 namespace walkpaddle::net {
 
@@ -25,6 +25,9 @@
   Note note = Note::none;
   bool still_good = false;
   std::string etag, body;
+  Sec age = -1;                     // of the copy, -1 where it is not told
+  std::vector<std::uint64_t> tags;  // that it names, as stable hashes
+  bool tags_told = false;
 };
 
 // One hop; lives in its txn's task. Dropped while it is out, it is given up at the cache server too.
@@ -32,8 +35,7 @@
  public:
   struct What {
     int member = -1, source = -1;
-    std::uint64_t id = 0, object = 0;
-    std::uint32_t group = 0;
+    std::uint64_t id = 0;
     std::string_view id_text, body;  // as the client sent them
     std::string fields;              // all but the limit, which is known only when it is written
     Sec until = 0;                   // its time-out, on the clock
@@ -49,6 +51,9 @@
   void time_came();
   void call_off();  // given up at the cache server; it ends once no answer can cross any more
   void drop();      // ends at once: nothing follows for its txn
+  void drop_unsent() {
+    if (state_ == State::waiting) drop();
+  }
   HopEnd& end() { return end_; }
   Sec started() const { return started_; }
 
@@ -78,8 +83,18 @@
   int member(std::string_view id);  // its index, given at first sight
   std::string_view id(int member) const;
   void told(int member, const Address& address, Listed state);
-  void purged(std::uint64_t object);
-  void purged_group(std::uint32_t group);
+  // Commands to a member beside the hops, and what comes back of them: over one connection, in order; a
+  // dial if there is none. `commands` is told the words of each answer and of each connection that is lost.
+  class Commands {
+   public:
+    virtual void command_answered(int member, const std::vector<std::string_view>& words) = 0;
+    virtual void connection_lost(int member) = 0;
+
+   protected:
+    ~Commands() = default;
+  };
+  void set_commands(Commands& commands) { commands_ = &commands; }
+  bool command(int member, std::string_view text);  // false: no connection yet, one is dialled
 
  private:
   friend class Hop;
@@ -108,6 +123,7 @@
   std::size_t connections_ = 0;  // of all peers, dials included
   std::vector<std::unique_ptr<Peer>> peers_;
   std::unordered_map<std::string, int> index_;
+  Commands* commands_ = nullptr;
 };
 
 }  // namespace walkpaddle::net
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -54,14 +54,6 @@
     stream_.write(words_text({tag, word}));
 }
 
-Clients::Listener::Listener(Scheduler& s, Fd f) : scheduler(s), fd(std::move(f)), came(s) {
-  scheduler.watch(fd.get(), *this);
-}
-
-Clients::Listener::~Listener() {
-  if (fd) scheduler.forget(fd.get(), *this);
-}
-
 Clients::Clients(Scheduler& scheduler, Outbox& outbox, Log& log, const Address& listen, std::size_t most,
                  std::vector<RuleName> rules, Serve serve)
     : scheduler_(scheduler),
@@ -71,7 +63,7 @@
       rules_(std::move(rules)),
       serve_(std::move(serve)),
       alive_("UNREADY"),
-      listener_(std::make_unique<Listener>(scheduler, listen_on(listen))) {
+      listener_(scheduler, listen_on(listen)) {
   scheduler_.start(accept_all());
 }
 
@@ -79,8 +71,8 @@
   constexpr Sec kPause = 0.1;  // without descriptors left: until some connections may have closed
   constexpr int kKernelHolds =
       256 * 1024;  // one of the largest answers; by itself it would grow to megabytes
-  while (listener_->fd) {
-    Fd fd(::accept4(listener_->fd.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  while (listener_.open()) {
+    Fd fd = listener_.accept();
     if (fd) {
       if (clients_.size() >= most_) make_room();
       if (clients_.size() >= most_) continue;  // all have open txns: this one is closed at once
@@ -94,10 +86,10 @@
     if (why == EINTR || why == ECONNABORTED) continue;
     if (why != EAGAIN) {
       log_("accept", "{}, {} clients connected", std::strerror(why), clients_.size());
-      co_await listener_->came.wait(scheduler_.now() + kPause);
+      co_await listener_.came.wait(scheduler_.now() + kPause);
       continue;
     }
-    co_await listener_->came.wait();
+    co_await listener_.came.wait();
   }
 }
 
@@ -200,6 +192,7 @@
   const auto rule = std::ranges::find(rules_, words[2], &RuleName::name);
   if (rule == rules_.end()) bad("class", words[2]);
   o.rule = static_cast<int>(rule - rules_.begin());
+  o.uncacheable = rule->uncacheable;
   const auto fields = words[3];
   const auto needed = [&](std::string_view name) {
     const auto value = field(fields, name);
@@ -222,11 +215,7 @@
   return o;
 }
 
-void Clients::stop_accepting() {
-  scheduler_.forget(listener_->fd.get(), *listener_);
-  listener_->fd = Fd();
-  listener_->came.set();
-}
+void Clients::stop_accepting() { listener_.close(); }
 
 void Clients::abort_open() {
   for (const auto& [client, held] : clients_)
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -11,11 +11,12 @@
 #include <utility>
 #include <vector>
 
+#include "io/listener.h"
+#include "io/log.h"
+#include "io/scheduler.h"
+#include "io/stream.h"
 #include "net/config.h"
 #include "net/desk.h"
-#include "net/log.h"
-#include "net/scheduler.h"
-#include "net/stream.h"
 
 namespace walkpaddle::net {
 
@@ -45,6 +46,7 @@
   std::uint64_t id = 0;
   int rule = 0, part = 0;
   std::uint32_t group = 0;
+  bool uncacheable = false;
   Sec expires = 0;
   OpenId open;
 };
@@ -89,15 +91,6 @@
   void request(const std::shared_ptr<Client>& client, const std::vector<std::string_view>& words);
   Order order_of(const std::vector<std::string_view>& words);
 
-  struct Listener final : Scheduler::Watcher {
-    Listener(Scheduler& scheduler, Fd fd);
-    ~Listener();
-    void on_ready(std::uint32_t) override { came.set(); }
-    Scheduler& scheduler;
-    Fd fd;
-    Event came;
-  };
-
   Scheduler& scheduler_;
   Outbox& outbox_;
   Log& log_;
@@ -106,7 +99,7 @@
   OpenId::Ids open_ids_;
   Serve serve_;
   std::string alive_;
-  std::unique_ptr<Listener> listener_;
+  Listener listener_;
   std::unordered_map<Client*, std::weak_ptr<Client>> clients_;
 };
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -115,7 +115,8 @@
   std::vector<RuleName> names;
   for (int n = 0; n < settings.whole("categories.count"); ++n) {
     const auto at = "categories." + std::to_string(n) + ".";
-    names.push_back({std::string(settings.text(at + "name")), settings.text(at + "effect") == "guarded"});
+    names.push_back({std::string(settings.text(at + "name")), settings.text(at + "effect") == "guarded",
+                     settings.item("specifics.pass_on", static_cast<std::size_t>(n)) == "true"});
   }
   return names;
 }
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "io/stream.h"
 #include "net/frames.h"
-#include "net/stream.h"
 #include "settings.h"
 
 namespace walkpaddle::net {
@@ -30,6 +30,7 @@
 struct RuleName {
   std::string name;
   bool keyed = false;
+  bool uncacheable = false;
 };
 std::vector<RuleName> rule_names(const Settings& settings);
 
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -2,8 +2,9 @@
 
 namespace walkpaddle::net {
 
-Seat::Seat(Desk& desk, int rule, std::uint64_t object, int part, std::uint32_t group, Sec expires)
-    : desk_(desk), event_(desk.scheduler_) {
+Seat::Seat(Desk& desk, int rule, std::uint64_t object, std::string_view name, int part, std::uint32_t group,
+           Sec expires)
+    : desk_(desk), object_(object), name_(name), group_(group), event_(desk.scheduler_) {
   if (desk_.free_.empty()) {
     slot_ = static_cast<int>(desk_.seats_.size());
     desk_.seats_.push_back(this);
@@ -13,6 +14,15 @@
     desk_.seats_[slot_] = this;
   }
   desk_.input().txn_taken(slot_, rule, object, part, group, 0, expires, false);
+  tell_purges();
+}
+
+void Seat::tell_purges() {
+  const Sec since = desk_.purges_.since(object_, group_, name_, desk_.scheduler_.now());
+  if (since == since_) return;
+  since_ = since;
+  desk_.input().copies_since(slot_, since);
+  if (hop_ != nullptr) hop_->drop_unsent();  // decided before the purge
 }
 
 Seat::~Seat() {
@@ -34,8 +44,9 @@
   event_.set();
 }
 
-Desk::Desk(Scheduler& scheduler, std::uint32_t seed, const Settings& settings)
+Desk::Desk(Scheduler& scheduler, std::uint32_t seed, const Settings& settings, fleet::Purges& purges)
     : scheduler_(scheduler),
+      purges_(purges),
       brain_(make_brain(seed)),
       between_pulls_(settings.ms("tick")),
       wake_(scheduler),
@@ -63,6 +74,10 @@
 // A pull asks again for each txn that waits, thousands of times a second if each turn did it. So pulls keep
 // the settings' least time between two; the first after a quiet while comes at once.
 void Desk::turn_ends() {
+  // At once, before anything that was decided before them goes out.
+  if (std::exchange(purges_told_, purges_.changes()) != purges_.changes())
+    for (auto* seat : seats_)
+      if (seat != nullptr) seat->tell_purges();
   if (scheduler_.now() >= pulled_at_ + between_pulls_) return pull();
   if (!std::exchange(pull_due_, true)) pull_.set();
 }
@@ -78,7 +93,7 @@
 
 void Desk::pull() {
   pulled_at_ = scheduler_.now();
-  input();
+  input().copies_within(purges_.age_limit(pulled_at_));
   while (const auto d = brain_->next()) {
     using Kind = Decision::Kind;
     if (d->kind == Kind::wake) {
--- a/src/net/desk.h
+++ b/src/net/desk.h
@@ -6,8 +6,9 @@
 #include <vector>
 
 #include "brain.h"
+#include "fleet/purges.h"
+#include "io/scheduler.h"
 #include "net/caches.h"
-#include "net/scheduler.h"
 #include "settings.h"
 
 namespace walkpaddle::net {
@@ -17,7 +18,9 @@
 // A txn's place at the desk, held by its task: the module knows the txn from its making on.
 class Seat {
  public:
-  Seat(Desk& desk, int rule, std::uint64_t object, int part, std::uint32_t group, Sec expires);
+  // The name must outlive the seat.
+  Seat(Desk& desk, int rule, std::uint64_t object, std::string_view name, int part, std::uint32_t group,
+       Sec expires);
   Seat(const Seat&) = delete;
   Seat& operator=(const Seat&) = delete;
   ~Seat();
@@ -28,10 +31,16 @@
   void hop_ended(Verdict verdict, Note note, Sec took, Sec sending, bool txn_over);
   void leave();  // the client waits no more
   bool left() const { return left_; }
+  Sec since() const { return since_; }  // copies made before are purged, as the module knows it
 
  private:
   friend class Desk;
   Desk& desk_;
+  void tell_purges();
+  const std::uint64_t object_;
+  const std::string_view name_;
+  const std::uint32_t group_;
+  Sec since_ = 0;
   int slot_;
   Event event_;
   std::optional<Decision> decision_;
@@ -42,9 +51,10 @@
 
 class Desk {
  public:
-  Desk(Scheduler& scheduler, std::uint32_t seed, const Settings& settings);
+  Desk(Scheduler& scheduler, std::uint32_t seed, const Settings& settings, fleet::Purges& purges);
 
   Brain& input();  // the module, with the clock set
+  fleet::Purges& purges() { return purges_; }
   std::size_t txns_open() const { return seats_.size() - free_.size(); }
 
  private:
@@ -55,7 +65,9 @@
   Task keep_time();
 
   Scheduler& scheduler_;
+  fleet::Purges& purges_;
   std::unique_ptr<Brain> brain_;
+  std::uint64_t purges_told_ = 0;
   std::vector<Seat*> seats_;
   std::vector<int> free_;
   const Sec between_pulls_;
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -53,7 +53,7 @@
 
 }  // namespace
 
-std::size_t read_frame(std::string_view bytes, std::uint64_t& last, ListEvents& events) {
+std::size_t read_frame(std::string_view bytes, std::uint64_t& last, ListEvents& events, std::uint64_t& seen) {
   constexpr std::size_t kMost = 4u << 20;  // a list of 150,000 members
   if (bytes.size() < 4) return 0;
   const auto length = take(bytes, 4);
@@ -63,6 +63,7 @@
   const auto number = take(payload, 8), kind = take(payload, 1);
   check(kind, payload);
   if (kind == 0 || number <= last) return 4 + length;
+  // Behind a gap: it counts at once, and will count again once what is missing has come before it.
   if (kind <= 2) hand_list(kind == 1, payload, events);
   if (kind == 3) {
     const auto object = fmt::format("{:016x}", take(payload, 8));
@@ -72,7 +73,8 @@
     const auto group = static_cast<std::uint32_t>(take(payload, 2));
     events.purged_group(group, static_cast<Sec>(take(payload, 8)) / 1e3);
   }
-  last = number;
+  seen = number;
+  if (number == last + 1) last = number;
   return 4 + length;
 }
 
--- a/src/net/frames.h
+++ b/src/net/frames.h
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "brain.h"
-#include "net/stream.h"
+#include "io/stream.h"
 
 namespace walkpaddle::net {
 
@@ -25,10 +25,10 @@
   ~ListEvents() = default;
 };
 
-// One frame at the front of `bytes`, handed to `events` if its number is past `last`, which it moves on.
-// Gives the bytes taken, 0 while the frame is not whole. What is no frame is Malformed, and none of it is
-// handed on.
-std::size_t read_frame(std::string_view bytes, std::uint64_t& last, ListEvents& events);
+// One frame at the front of `bytes`, handed to `events` if its number is past `last`, which it moves on if it
+// is the next; `seen` is set to its number. Gives the bytes taken, 0 while the frame is not whole. What is no
+// frame is Malformed, and none of it is handed on.
+std::size_t read_frame(std::string_view bytes, std::uint64_t& last, ListEvents& events, std::uint64_t& seen);
 
 std::string hello_text(std::uint64_t last);  // what is written to the bus first
 
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -15,20 +15,18 @@
                        Listed state, double weight, Sec started) {
   const int m = caches_.member(id);
   caches_.told(m, address, state);
+  desk_.purges().boxes().listed(m, state != Listed::gone);
   desk_.input().list_member(m, stable_hash(id), location, kind, cell, state, weight, started);
 }
 
 void List::list_end() { desk_.input().list_end(); }
 
 void List::purged(std::string_view object, Sec at) {
-  const auto hash = stable_hash(object);
-  caches_.purged(hash);
-  desk_.input().purged(hash, std::max(0.0, scheduler_.now() - at));
+  desk_.purges().bus_object(stable_hash(object), std::min(at, scheduler_.now()));
 }
 
 void List::purged_group(std::uint32_t group, Sec at) {
-  caches_.purged_group(group);
-  desk_.input().purged_group(group, std::max(0.0, scheduler_.now() - at));
+  desk_.purges().bus_group(group, std::min(at, scheduler_.now()));
 }
 
 void List::follow(const Address& bus) {
@@ -64,7 +62,7 @@
           if (came == Stream::Came::bytes) {
             const auto before = stream.in().size();
             if (!take_frames(stream)) {
-              why = "a frame that cannot be read";
+              why = "a frame that cannot be used";
               break;
             }
             if (stream.in().size() < before) pause = kFirstPause, whole_at = scheduler_.now();
@@ -89,13 +87,29 @@
   }
 }
 
+// Numbers that are missing are asked for again, by a new connection from the last that is held; until they
+// came the ages of all copies are bounded. If the bus leaves the same out twice it will not tell them: all
+// copies from before then count as old, and what follows is taken.
 bool List::take_frames(Stream& stream) {
+  const Sec now = scheduler_.now();
   try {
-    for (auto before = last_; const auto used = read_frame(stream.in(), last_, *this); before = last_) {
+    for (;;) {
+      const auto held = last_;
+      std::uint64_t seen = 0;
+      const auto used = read_frame(stream.in(), last_, *this, seen);
+      if (used == 0) return true;
       stream.consume(used);
-      if (last_ > before + 1) log_("bus", "events {} to {} never came", before + 1, last_ - 1);
+      if (seen > held + 1) {
+        const bool again = std::exchange(gap_after_, held) == held;
+        log_("bus", "events {} to {} never came{}", held + 1, seen - 1,
+             again ? ", asked again: given up" : "");
+        desk_.purges().bus_gap(!again, now);
+        if (!again) return false;
+        desk_.purges().bus_lost(now);
+        last_ = seen;
+      }
+      if (gap_after_ != kNoGap && last_ > gap_after_) gap_after_ = kNoGap, desk_.purges().bus_gap(false, now);
     }
-    return true;
   } catch (const Malformed& e) {
     log_("bus", "{}", e.what());
     return false;
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -4,10 +4,10 @@
 #include <cstdint>
 #include <string>
 
+#include "io/log.h"
 #include "net/caches.h"
 #include "net/desk.h"
 #include "net/frames.h"
-#include "net/log.h"
 
 namespace walkpaddle::net {
 
@@ -40,7 +40,8 @@
   Log& log_;
   Desk& desk_;
   Caches& caches_;
-  std::uint64_t last_ = 0;
+  static constexpr std::uint64_t kNoGap = ~std::uint64_t{};
+  std::uint64_t last_ = 0, gap_after_ = kNoGap;  // gap_after_: the last before a gap that is asked for again
   Address bus_;
   bool following_ = false, moved_ = false;
   Stream* stream_ = nullptr;  // the connection in use, if there is one
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -1,5 +1,6 @@
 #include "net/router.h"
 
+#include <fmt/core.h>
 #include <signal.h>
 #include <sys/signalfd.h>
 
@@ -26,11 +27,15 @@
 
 }  // namespace
 
-Router::Share::Share(int sockets) {
-  constexpr int kOwn =
-      14;  // standard streams, epoll, signals, listener, bus and its next dial, a file; spare
-  clients = static_cast<std::size_t>(std::max(2, (sockets - kOwn) / 2));
-  caches = static_cast<std::size_t>(std::max(2, sockets - kOwn - (sockets - kOwn) / 2));
+Router::Share::Share(int sockets, const control::File& file) {
+  // Standard streams, epoll, signals, listener, bus and its next dial, a file; spare.
+  int own = 14;
+  // Each peer and its next connection, some strangers, operators, the store's file, lock and words.
+  if (file.fleet.on) own += 2 * static_cast<int>(file.fleet.peers.size()) + 6;
+  if (!file.socket.empty()) own += 9;
+  if (!file.store_folder.empty()) own += 4;
+  clients = static_cast<std::size_t>(std::max(2, (sockets - own) / 2));
+  caches = static_cast<std::size_t>(std::max(2, sockets - own - (sockets - own) / 2));
 }
 
 Router::Signals::Signals(Scheduler& s) : scheduler(s), came(s) {
@@ -52,13 +57,35 @@
   return ::read(fd.get(), &info, sizeof info) == sizeof info ? static_cast<int>(info.ssi_signo) : 0;
 }
 
-Router::Router(Config config, std::function<Config()> read_again, Log& log)
+fleet::Purges::Setup Router::purges_setup() {
+  fleet::Purges::Setup s;
+  s.settle = config_.settings.ms("specifics.purge_settles");
+  const auto& f = file_.fleet;
+  if (!f.on) return s;
+  // A start without a store is another issuer each time: its numbers begin anew.
+  run_ = fmt::format("{:016x}", stable_hash(fmt::format("{} {} {}", f.name, config_.seed, scheduler_.now())));
+  if (!file_.store_folder.empty()) {
+    store_ = std::make_unique<store::Store>(
+        store::Store::Setup{file_.store_folder, static_cast<std::size_t>(file_.store_megabytes)});
+    run_ = fleet::run_of(*store_, run_);
+  }
+  s.fleet = true, s.peers = static_cast<int>(f.peers.size()), s.lasting = store_ != nullptr;
+  s.self = stable_hash(f.name + " " + run_);
+  s.copy_life = f.copy_life, s.sync = {f.lease, f.beat};
+  s.entries = static_cast<std::size_t>(f.entries), s.objects = static_cast<std::size_t>(f.objects);
+  return s;
+}
+
+Router::Router(Config config, const control::File& file, std::function<Config()> read_again, Log& log)
     : log_(log),
       config_(std::move(config)),
+      file_(file),
       read_again_(std::move(read_again)),
-      share_(config_.sockets),
+      share_(config_.sockets, file_),
       signals_(scheduler_),
-      desk_(scheduler_, fold_seed(config_.seed), config_.settings),
+      purges_(purges_setup(), scheduler_.now()),
+      desk_(scheduler_, fold_seed(config_.seed), config_.settings, purges_),
+      fleet_at_turns_end_(scheduler_, [this] { pull_fleet(); }),
       outbox_(scheduler_, bytes_to_hold(config_.memory_mb)),
       caches_(scheduler_, outbox_, log, share_.caches, config_.settings.whole("allowed.streams_per_conn", 32),
               config_.settings.ms("allowed.dial_timeout"), config_.settings.ms("allowed.idle_close"),
@@ -66,14 +93,36 @@
       list_(scheduler_, outbox_, log, desk_, caches_),
       clients_(scheduler_, outbox_, log, config_.listen, share_.clients, rule_names(config_.settings),
                [this](std::shared_ptr<Client> client, Order order) {
-                 scheduler_.start(serve(scheduler_, desk_, caches_, std::move(client), std::move(order),
+                 scheduler_.start(serve(scheduler_, log_, desk_, caches_, std::move(client), std::move(order),
                                         config_.bytes_a_second));
                }) {
   log_("start", "{} on {}, {} descriptors, {} MB", config_.name, text_of(config_.listen), config_.sockets,
        config_.memory_mb);
+  const auto& f = file_.fleet;
+  if (store_) keeper_ = std::make_unique<fleet::Keeper>(scheduler_, log_, purges_, *store_);
+  purges_.after_input(scheduler_.now());
+  if (f.on) {
+    fleet::Links::Setup links{f.name, parse_address(f.listen), {}};
+    for (const auto& p : f.peers) links.peers.push_back({p.name, parse_address(p.address)});
+    links_ = std::make_unique<fleet::Links>(scheduler_, outbox_, log_, purges_, links);
+  }
+  if (file_.tell_boxes) teller_ = std::make_unique<Teller>(scheduler_, log_, purges_, caches_, run_);
+  if (!file_.socket.empty()) {
+    control::Operators::Names names{f.name, {}, [this](int box) { return std::string(caches_.id(box)); }};
+    for (const auto& p : f.peers) names.peers.push_back(p.name);
+    operators_ =
+        std::make_unique<control::Operators>(scheduler_, outbox_, log_, purges_, file_.socket, names);
+  }
   scheduler_.start(live());
 }
 
+void Router::pull_fleet() {
+  constexpr Sec kTrim = 0.25;
+  if (const Sec now = scheduler_.now(); now >= trim_at_) purges_.trim(now), trim_at_ = now + kTrim;
+  if (keeper_) keeper_->pull();
+  if (links_) links_->pull();
+}
+
 Router::~Router() { scheduler_.drop_tasks(); }
 
 void Router::run() { scheduler_.run(); }
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -2,20 +2,27 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 
+#include "control/file.h"
+#include "control/operators.h"
+#include "fleet/keeper.h"
+#include "fleet/links.h"
+#include "io/log.h"
 #include "net/caches.h"
 #include "net/clients.h"
 #include "net/config.h"
 #include "net/desk.h"
 #include "net/list.h"
-#include "net/log.h"
+#include "net/teller.h"
 
 namespace walkpaddle::net {
 
 class Router {
  public:
   // `read_again` gives the configuration as it now stands, or is Malformed.
-  Router(Config config, std::function<Config()> read_again, Log& log);
+  // What the operator's file switches on stands beside what the platform tells.
+  Router(Config config, const control::File& file, std::function<Config()> read_again, Log& log);
   ~Router();
   void run();  // returns once stopped
 
@@ -34,26 +41,40 @@
   // The descriptors that the platform allows, by who may hold them: usual clients hold a third at most, so
   // half leaves room for those that stay; cache servers have the rest.
   struct Share {
-    explicit Share(int sockets);
+    Share(int sockets, const control::File& file);
     std::size_t clients, caches;
   };
 
   void enter(Phase phase);
   void reload();
   Task live();
+  fleet::Purges::Setup purges_setup();
+  void pull_fleet();
 
   Log& log_;
   const Config config_;
+  const control::File file_;
   const std::function<Config()> read_again_;
   Phase phase_ = Phase::starting;
   const Share share_;
   Scheduler scheduler_;
   Signals signals_;
+  std::unique_ptr<store::Store> store_;
+  std::string run_;  // of this router's store, or of this start
+  fleet::Purges purges_;
+  Sec trim_at_ = 0;
   Desk desk_;  // before the outbox: what a turn decides goes out at its end
+  struct AtTurnsEnd {
+    AtTurnsEnd(Scheduler& scheduler, std::function<void()> call) { scheduler.at_turns_end(std::move(call)); }
+  } fleet_at_turns_end_;
   Outbox outbox_;
   Caches caches_;
   List list_;
   Clients clients_;
+  std::unique_ptr<fleet::Keeper> keeper_;
+  std::unique_ptr<fleet::Links> links_;
+  std::unique_ptr<Teller> teller_;
+  std::unique_ptr<control::Operators> operators_;
 };
 
 }  // namespace walkpaddle::net
--- /dev/null
+++ b/src/net/teller.h
@@ -0,0 +1,30 @@
+// Tells caches the purges, where they understand them: "purges", place, and what is asked; see
+// docs/purges.md.
+#pragma once
+
+#include <string>
+
+#include "fleet/purges.h"
+#include "io/log.h"
+#include "net/caches.h"
+
+namespace walkpaddle::net {
+
+class Teller final : Caches::Commands {
+ public:
+  // `run` names this run of places: another run's cursors mean nothing.
+  Teller(Scheduler& scheduler, Log& log, fleet::Purges& purges, Caches& caches, std::string run);
+
+ private:
+  void command_answered(int member, const std::vector<std::string_view>& words) override;
+  void connection_lost(int member) override { purges_.boxes().connection_lost(member); }
+  Task tell_all();
+
+  Scheduler& scheduler_;
+  Log& log_;
+  fleet::Purges& purges_;
+  Caches& caches_;
+  const std::string run_;
+};
+
+}  // namespace walkpaddle::net
--- a/src/net/txn.cpp
+++ b/src/net/txn.cpp
@@ -29,12 +29,24 @@
   client.answer(o.tag, "RESULT", fields, end.still_good ? std::string_view() : end.body);
 }
 
+// What a completed hop comes to once the purges of now are held against its copy. Where the age is told it is
+// the sending that it is counted back from: a copy is taken for as old as it may be.
+Verdict checked(fleet::Purges& purges, const Order& o, std::uint64_t object, const Hop& hop,
+                const HopEnd& end, Sec allowed, Sec now) {
+  constexpr Sec kRounding = 0.002;  // whole milliseconds, up at one side and down at the other
+  if (end.tags_told) purges.learn(object, end.tags, now);
+  const Sec made = end.age >= 0 ? hop.started() - end.age : allowed > 0 ? hop.started() - allowed : 0;
+  if (end.age >= 0 && allowed > 0 && end.age > allowed + kRounding) return Verdict::too_old;
+  return purges.too_old(object, o.group, o.object_text, end.tags, made, now) ? Verdict::called_off
+                                                                             : Verdict::completed;
+}
+
 }  // namespace
 
-Task serve(Scheduler& scheduler, Desk& desk, Caches& caches, std::shared_ptr<Client> client, Order order,
-           double bytes_a_second) {
+Task serve(Scheduler& scheduler, Log& log, Desk& desk, Caches& caches, std::shared_ptr<Client> client,
+           Order order, double bytes_a_second) {
   const auto object = stable_hash(order.object_text);
-  Seat seat(desk, order.rule, object, order.part, order.group, order.expires);
+  Seat seat(desk, order.rule, object, order.object_text, order.part, order.group, order.expires);
   client->opened(order.tag, seat);
   for (;;) {
     co_await seat.woken();
@@ -51,14 +63,22 @@
     }
     const Sec until = d->time > 0 ? std::min(order.expires, scheduler.now() + d->time) : order.expires;
     Hop hop(scheduler, caches,
-            {d->member, d->source, order.id, object, order.group, order.id_text, order.body,
-             fields_of(order, *d, caches), until, until >= order.expires});
+            {d->member, d->source, order.id, order.id_text, order.body, fields_of(order, *d, caches), until,
+             until >= order.expires});
     seat.hop_out(&hop);
     while (!hop.ended()) {
       const bool told = co_await hop.wait();
       if (!told) hop.time_came();
     }
-    const auto& end = hop.end();
+    auto& end = hop.end();
+    // A hop under way when a purge came, or a cache that confirmed and answers old all the same: not this
+    // answer.
+    if (end.verdict == Verdict::completed && desk.purges().sync() != nullptr && !order.uncacheable) {
+      end.verdict = checked(desk.purges(), order, object, hop, end, d->age, scheduler.now());
+      if (end.verdict == Verdict::too_old)
+        log("old", "{}: a copy of {:.3f} s where {:.3f} s were allowed; set aside", caches.id(d->member),
+            end.age, d->age);
+    }
     const bool completed = end.verdict == Verdict::completed && !seat.left();
     const auto size = end.body.size();
     if (completed) give(*client, order, end);
--- a/src/net/txn.h
+++ b/src/net/txn.h
@@ -9,7 +9,8 @@
 
 namespace walkpaddle::net {
 
-Task serve(Scheduler& scheduler, Desk& desk, Caches& caches, std::shared_ptr<Client> client, Order order,
+Task serve(Scheduler& scheduler, Log& log, Desk& desk, Caches& caches, std::shared_ptr<Client> client,
+           Order order,
            double bytes_a_second);  // of one transfer, 0 if not told
 
 }  // namespace walkpaddle::net
--- /dev/null
+++ b/src/sec.h
@@ -0,0 +1,8 @@
+// Times are seconds with fractions, everywhere.
+#pragma once
+
+namespace walkpaddle {
+
+using Sec = double;
+
+}  // namespace walkpaddle
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -85,7 +85,6 @@
   const auto weights = s.text("weights");
   b.set_weights(weights == "nominal" || weights == "rough");
   b.set_list(s.text("registry_mode") == "ask");
-  b.set_purges(s.ms("specifics.purge_settles"));
   b.set_clients({s.flag("client_habits.marks_retry"),
                  s.flag("allowed.retry_after") ? s.ms("allowed.max_retry_after") : 0});
 }
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -152,8 +152,7 @@
     if (name == "WITHDRAWN_COPY") {
       const Sec ago = f.number("oldness") / 1e3;
       const auto tag = static_cast<std::uint32_t>(f.integer_or(0, "tag"));
-      const auto object = f.text_or("0");
-      return object == "0" ? in.brain->purged_group(tag, ago) : in.brain->purged(stable_hash(object), ago);
+      return purged(in, f.text_or("0"), tag, clock_ - ago);
     }
     // STREAMING, WHISPER, PONG: nothing here asks for them.
   });
@@ -169,6 +168,9 @@
   guarded(number, [&] {
     in.brain->clock(clock_);
     hand_over(s, *in.brain);
+    // A second more than the settling: servers' clocks and the way to them.
+    in.purges = std::make_unique<purge::Cover>(
+        purge::Cover::Bounds{.life = s.ms("specifics.purge_settles") + 1, .most = 4096, .objects = 4});
     in.rules = s.whole("categories.count");
     for (int n = 0; n < 4 && in.util_at < 0; ++n)
       if (s.item("report.names", n) == "util" && s.text("report.source") == "answers") in.util_at = n;
@@ -221,9 +223,22 @@
     slot = in.free_txns.back();
     in.free_txns.pop_back();
   }
-  in.txns[slot] = {id, 0, false};
+  in.txns[slot] = {id, 0, false, object, group};
   in.txn_of[id] = slot;
   in.brain->txn_taken(slot, rule, object, part, group, kbytes, expires, repeat);
+  in.brain->copies_since(slot, in.purges->newest(object, group, {}, clock_));
+}
+
+void Host::purged(Instance& in, std::string_view object, std::uint32_t group, Sec from) {
+  in.purges->trim(clock_);
+  if (object == "0")
+    in.purges->group(group, from);
+  else
+    in.purges->object(stable_hash(object), from);
+  for (const auto& [id, slot] : in.txn_of) {
+    const auto& t = in.txns[slot];
+    in.brain->copies_since(slot, in.purges->newest(t.object, t.group, {}, clock_));
+  }
 }
 
 void Host::completed(Instance& in, Fields& f) {
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "brain.h"
+#include "purge/cover.h"
 #include "text.h"
 
 namespace walkpaddle::wirehost {
@@ -54,6 +55,8 @@
     std::uint32_t id = 0;
     int out = 0;
     bool over = false;
+    std::uint64_t object = 0;
+    std::uint32_t group = 0;
   };
   struct Instance {
     explicit Instance(std::uint32_t seed) : brain(make_brain(seed)) {}
@@ -63,6 +66,7 @@
     std::unordered_map<std::uint32_t, int> txn_of;
     std::vector<Txn> txns;
     std::vector<int> free_txns;
+    std::unique_ptr<purge::Cover> purges;
     int rules = 0, util_at = -1;  // util_at: place of the load report's util
   };
 
@@ -76,6 +80,7 @@
   void guarded(int number, F&& call);
   void touch(int number);
   int member(Instance& in, std::string_view server);
+  void purged(Instance& in, std::string_view object, std::uint32_t group, Sec from);
   static void close_if_done(Instance& in, int txn);
   void pull(int number, Instance& in);
   void write(int number, Instance& in, const Decision& d);
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -21,10 +21,11 @@
 #include <sstream>
 
 #include "brain.h"
+#include "io/fd.h"
 #include "net/config.h"
-#include "net/fd.h"
 #include "net/frames.h"
 #include "net/resp.h"
+#include "purge/cover.h"
 #include "text.h"
 
 using namespace walkpaddle;
@@ -71,7 +72,7 @@
 }
 
 const std::vector<std::string> kVerdicts{"completed", "error",      "not_taken", "timed_out", "no_connection",
-                                         "broken",    "called_off", "not_sent",  "lacking"};
+                                         "broken",    "called_off", "not_sent",  "lacking",   "too_old"};
 const std::vector<std::string> kNotes{"none",         "hit",           "filled",         "by_origin",
                                       "joined",       "old_copy",      "source_refused", "source_unreached",
                                       "source_lacks", "no_fill_place", "origin_failed"};
@@ -103,9 +104,9 @@
     out += text.str() + "\n";
   }
   void list_begin(bool whole) override { say(whole ? "list" : "changes"); }
-  void list_member(std::string_view id, const net::Address& at, int location, int kind, int cell,
-                   Listed state, double weight, Sec started) override {
-    say(" ", id, net::text_of(at), "location", location, "kind", kind, "cell", cell, "state",
+  void list_member(std::string_view id, const Address& at, int location, int kind, int cell, Listed state,
+                   double weight, Sec started) override {
+    say(" ", id, text_of(at), "location", location, "kind", kind, "cell", cell, "state",
         static_cast<int>(state), "weight", weight, "started", started);
   }
   void list_end() override { say("end"); }
@@ -143,7 +144,8 @@
     PrintedEvents events;
     std::uint64_t last = 2;
     auto out = fed(bytes, step, [&](const std::string& held, std::string& text) {
-      const auto used = net::read_frame(held, last, events);
+      std::uint64_t seen = 0;
+      const auto used = net::read_frame(held, last, events, seen);
       text += std::exchange(events.out, "");
       return used;
     });
@@ -157,7 +159,7 @@
 void play_config(const std::string& text) {
   try {
     const auto c = net::parse_config(text);
-    std::printf(" %s on %s, first class %s\n", c.name.c_str(), net::text_of(c.listen).c_str(),
+    std::printf(" %s on %s, first class %s\n", c.name.c_str(), text_of(c.listen).c_str(),
                 net::rule_names(c.settings).front().name.c_str());
   } catch (const Malformed& e) {
     std::printf(" malformed: %s\n", std::string(e.what()).substr(0, 70).c_str());
@@ -167,7 +169,7 @@
 // ---- the router over sockets -----------------------------------------------------------------------------
 
 struct Conn {
-  net::Fd fd;
+  Fd fd;
   std::string held;
 };
 
@@ -199,7 +201,7 @@
     if (what == "noise")
       return noise(servers_[w[1]], unescaped(text.substr(text.find(w[1]) + w[1].size() + 1))), true;
     if (what == "closes") return servers_[w[1]].conns.clear(), true;
-    if (what == "refuses") return servers_[w[1]].conns.clear(), void(servers_[w[1]].fd = net::Fd()), true;
+    if (what == "refuses") return servers_[w[1]].conns.clear(), void(servers_[w[1]].fd = Fd()), true;
     if (what == "bus") return bus(w), true;
     if (what == "wait") return ::usleep(static_cast<useconds_t>(std::stod(w[1]) * 1e6)), true;
     if (what == "term") return ::kill(router_, SIGTERM), true;
@@ -211,7 +213,7 @@
 
  private:
   struct Server {
-    net::Fd fd;
+    Fd fd;
     int port = 0;
     std::vector<Conn> conns;
     std::size_t last = 0;                     // the connection of the last request
@@ -225,8 +227,8 @@
     return text;
   }
 
-  static net::Fd listen_at(int& port) {
-    net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  static Fd listen_at(int& port) {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     sockaddr_in a{};
     a.sin_family = AF_INET;
     a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -238,9 +240,9 @@
     return fd;
   }
 
-  static net::Fd connect_to(int port) {
+  static Fd connect_to(int port) {
     for (int n = 0; n < 500; ++n, ::usleep(10000)) {
-      net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+      Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
       sockaddr_in a{};
       a.sin_family = AF_INET;
       a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -290,7 +292,7 @@
   void asked(const std::string& name) {
     auto& s = servers_[name];
     for (int n = 0; n < 5000; ++n, ::usleep(2000)) {
-      if (readable(s.fd.get(), 0)) s.conns.push_back({net::Fd(::accept(s.fd.get(), nullptr, nullptr)), ""});
+      if (readable(s.fd.get(), 0)) s.conns.push_back({Fd(::accept(s.fd.get(), nullptr, nullptr)), ""});
       for (s.last = 0; s.last < s.conns.size(); ++s.last) {
         auto text = next_of(s.conns[s.last], 0);
         if (text == "nothing" || text == "closed") continue;
@@ -358,7 +360,7 @@
     if (w[1] == "up") {
       if (!readable(bus_.fd.get(), 10000)) fail("router at the bus");
       bus_.conns.clear();
-      bus_.conns.push_back({net::Fd(::accept(bus_.fd.get(), nullptr, nullptr)), ""});
+      bus_.conns.push_back({Fd(::accept(bus_.fd.get(), nullptr, nullptr)), ""});
       char hello[8];
       if (::recv(bus_.conns[0].fd.get(), hello, 8, MSG_WAITALL) != 8) fail("hello");
       std::printf("bus is asked from event %d\n", hello[7]);
@@ -495,6 +497,19 @@
           static_cast<Listed>(l.pick("is", {"gone", "ready", "draining"}) + (l.pairs.count("is") ? 0 : 1)),
           l.num("weight", 1), l.pairs.count("age") ? now - l.num("age") : 0);
   };
+  purge::Cover cover({.life = 7, .most = 4096, .objects = 4});
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> about;  // object and group, by txn
+  const auto tell_purges = [&] {
+    for (std::size_t n = 0; n < about.size(); ++n)
+      brain.copies_since(static_cast<int>(n), cover.newest(about[n].first, about[n].second, {}, now));
+  };
+  const auto taken = [&](int txn, std::uint64_t object, const Line& l) {
+    const auto group = static_cast<std::uint32_t>(l.num("group"));
+    brain.txn_taken(txn, static_cast<int>(l.num("rule")), object, static_cast<int>(l.num("part")), group,
+                    l.num("kb"), now + l.num("for", 5), l.num("repeat") > 0);
+    about.resize(std::max(about.size(), static_cast<std::size_t>(txn) + 1));
+    about[static_cast<std::size_t>(txn)] = {object, group};
+  };
   Stage stage;
   brain.clock(now);
   for (std::string text; std::getline(std::cin, text);) {
@@ -520,7 +535,6 @@
                          l.num("join", 1) > 0, l.num("notes", 1) > 0 ? Notes::all : Notes::none, 1000});
       brain.set_cold({0.2, l.num("multiple", 2), 16, 2}, {0.08, 2, 20, 2});
       brain.set_weights(l.num("weights") > 0);
-      brain.set_purges(6);
       brain.set_clients({l.num("marks", 1) > 0, 0.5});
     } else if (what == "rule") {
       RemapRule r;
@@ -554,10 +568,7 @@
       brain.clock(now = until);
     } else if (what == "txn") {
       for (std::size_t n = 1; n < l.words.size(); ++n)
-        brain.txn_taken(index_of(txns, l.words[n]), static_cast<int>(l.num("rule")),
-                        hash_of(l.pairs.count("object") ? l.pairs.at("object") : "a"),
-                        static_cast<int>(l.num("part")), static_cast<std::uint32_t>(l.num("group")),
-                        l.num("kb"), now + l.num("for", 5), l.num("repeat") > 0);
+        taken(index_of(txns, l.words[n]), hash_of(l.pairs.count("object") ? l.pairs.at("object") : "a"), l);
     } else if (what == "ended") {
       const auto verdict = static_cast<Verdict>(l.pick("as", kVerdicts));
       brain.hop_ended(index_of(txns, l.words[1]), static_cast<int>(l.num("hop")), verdict,
@@ -568,13 +579,16 @@
     } else if (what == "left") {
       brain.txn_left(index_of(txns, l.words[1]));
     } else if (what == "purge") {
-      brain.purged(hash_of(l.words[1]), l.num("ago"));
+      cover.object(hash_of(l.words[1]), now - l.num("ago"));
     } else if (what == "purge-group") {
-      brain.purged_group(static_cast<std::uint32_t>(std::stoul(l.words[1])), l.num("ago"));
+      cover.group(static_cast<std::uint32_t>(std::stoul(l.words[1])), now - l.num("ago"));
+    } else if (what == "within") {
+      brain.copies_within(l.num("age"));
     } else {
       std::cerr << "what is '" << what << "'?\n";
       return 1;
     }
+    tell_purges();
     pull();
   }
 } catch (const std::exception&) {
