--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -208,10 +208,10 @@
     double served = 0, rate = 0;
   } warm[2];  // caches, parents: work lately got through a warm member, in the mean
   std::vector<RemapRule> rules;
-  std::vector<Quiet> mean_work;                   // by rule: sending time, from told sizes or hits
+  std::vector<Quiet> mean_work;  // by rule: sending time, from told sizes or hits
   // By whether the size was known, by rule: mean, deviation of hop times past the sending that was known.
   std::vector<std::pair<double, double>> excess[2];
-  Quiet misses{.mean = 0.5};                      // share of hops to a cache that draw a fill
+  Quiet misses{.mean = 0.5};  // share of hops to a cache that draw a fill
   double mean_txn = 0.4;
 
   Counts counts;
--- a/src/brain.h
+++ b/src/brain.h
@@ -132,7 +132,8 @@
   // sending: the answer's own time at a client's pace, by its bytes; 0 where they are not seen
   virtual void hop_ended(int txn, int hop, Verdict verdict, Note note, Sec took, Sec sending,
                          bool txn_over) = 0;
-  // Copies made before are purged, for this txn's object: told with the txn and whenever it moves; 0 for none.
+  // Copies made before are purged, for this txn's object: told with the txn and whenever it moves; 0 for
+  // none.
   virtual void copies_since(int txn, Sec made) = 0;
   virtual void copies_within(Sec age) = 0;  // no older copy of any object will do; 0 for no limit
   virtual void woken() = 0;
--- a/src/control/command.cpp
+++ b/src/control/command.cpp
@@ -58,13 +58,22 @@
   return text.empty() ? "none" : text;
 }
 
+// Since when no router gives an old copy; known at the router that issued it.
+std::string promise(const json& ago) {
+  if (ago.is_null()) return "";
+  const double s = ago.get<double>();
+  return s >= 0 ? fmt::format(", no old copy since {:.1f} s", s)
+                : fmt::format(", no old copy in {:.1f} s", -s);
+}
+
 void show(const json& s) {
   fmt::print(
       "{}  {} {}  {:.1f} s ago  held by {} of {} routers{}  lacking: {}  boxes that have not confirmed: {}\n",
       s["number"].get<std::string>(), s["kind"].get<std::string>(), s["what"].get<std::string>(),
       s["ago_s"].get<double>(), s["holders"].get<int>(), s["routers"].get<int>(),
-      s["accepted"].get<bool>() ? ", accepted" : ", NOT ACCEPTED", names(s["lacking"]),
-      names(s["boxes_unconfirmed"]));
+      s["accepted"].get<bool>() ? ", accepted" + promise(s["promise_holds_s_ago"])
+                                : std::string(", NOT ACCEPTED"),
+      names(s["lacking"]), names(s["boxes_unconfirmed"]));
 }
 
 // The library's errors and the router's refusals, each as one plain line.
--- a/src/control/file.cpp
+++ b/src/control/file.cpp
@@ -4,6 +4,9 @@
 
 #include <cstdarg>
 #include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <iterator>
 #include <memory>
 #include <set>
 
@@ -14,14 +17,18 @@
 
 namespace {
 
-thread_local std::string first_error;  // the library calls back without a place for our own
+// The library calls back without a place for our own.
+thread_local std::string first_error, reading_from;
+
+// Stands behind the file's text: a file that ends within a section takes it for that section's.
+constexpr const char* kEnd = "end_of_file";
 
 void keep_error(cfg_t* cfg, const char* form, va_list args) {
   if (!first_error.empty()) return;
   char text[300];
   std::vsnprintf(text, sizeof text, form, args);
-  first_error = std::string(cfg != nullptr && cfg->filename != nullptr ? cfg->filename : "?") + ":" +
-                std::to_string(cfg != nullptr ? cfg->line : 0) + ": " + text;
+  const std::string what = std::strstr(text, kEnd) != nullptr ? "the file ends within a section" : text;
+  first_error = reading_from + ":" + std::to_string(cfg != nullptr ? cfg->line : 0) + ": " + what;
 }
 
 template <int least, int most>
@@ -93,9 +100,13 @@
   cfg_opt_t control[] = {CFG_STR("socket", nullptr, CFGF_NODEFAULT), CFG_END()};
   cfg_opt_t boxes[] = {CFG_BOOL("tell_purges", cfg_false, CFGF_NONE), CFG_END()};
   cfg_opt_t log[] = {CFG_STR("form", "text", CFGF_NONE), CFG_END()};
-  cfg_opt_t all[] = {CFG_SEC("fleet", fleet, CFGF_MULTI),     CFG_SEC("store", store, CFGF_MULTI),
-                     CFG_SEC("control", control, CFGF_MULTI), CFG_SEC("boxes", boxes, CFGF_MULTI),
-                     CFG_SEC("log", log, CFGF_MULTI),         CFG_END()};
+  cfg_opt_t all[] = {CFG_SEC("fleet", fleet, CFGF_MULTI),
+                     CFG_SEC("store", store, CFGF_MULTI),
+                     CFG_SEC("control", control, CFGF_MULTI),
+                     CFG_SEC("boxes", boxes, CFGF_MULTI),
+                     CFG_SEC("log", log, CFGF_MULTI),
+                     CFG_INT(kEnd, 0, CFGF_NONE),
+                     CFG_END()};
   const std::unique_ptr<cfg_t, decltype(&cfg_free)> owned(cfg_init(all, CFGF_NONE), &cfg_free);
   cfg_t* cfg = owned.get();
   first_error.clear();
@@ -110,9 +121,12 @@
   cfg_set_validate_func(cfg, "fleet|objects", within<16, 4'000'000>);
   cfg_set_validate_func(cfg, "store|megabytes", within<1, 65536>);
   cfg_set_validate_func(cfg, "log|form", form_known);
-  const int got = cfg_parse(cfg, path.c_str());
-  if (got == CFG_FILE_ERROR) throw Malformed("cannot read " + path);
-  if (got != CFG_SUCCESS) throw Malformed(first_error.empty() ? path + ": cannot be read" : first_error);
+  std::ifstream in(path);
+  const std::string text{std::istreambuf_iterator<char>(in), {}};
+  if (!in.is_open() || in.bad()) throw Malformed("cannot read " + path);
+  reading_from = path;
+  if (cfg_parse_buf(cfg, (text + "\n" + kEnd + " = 1\n").c_str()) != CFG_SUCCESS)
+    throw Malformed(first_error.empty() ? path + ": cannot be read" : first_error);
 
   File f;
   if (cfg_size(cfg, "fleet") > 0) {
--- a/src/control/operators.cpp
+++ b/src/control/operators.cpp
@@ -103,6 +103,8 @@
                 {"holders", s.holders},
                 {"routers", s.routers},
                 {"accepted", s.accepted},
+                {"promise_holds_s_ago",
+                 s.accepted_at > 0 ? json(now - s.accepted_at - purges_.delay()) : json(nullptr)},
                 {"lacking", lacking},
                 {"boxes_unconfirmed", unconfirmed}};
   };
--- a/src/fleet/keeper.cpp
+++ b/src/fleet/keeper.cpp
@@ -78,7 +78,7 @@
 void Keeper::on_ready(std::uint32_t) {
   std::uint64_t count = 0;
   if (::read(store_.told(), &count, sizeof count) != sizeof count) return;
-  purges_.stored(store_.written());
+  purges_.stored(store_.written(), scheduler_.now());
   if (store_.failed() && !std::exchange(said_, true))
     log_("store", "{}: purges issued here are accepted no more", store_.why());
 }
--- a/src/fleet/purges.cpp
+++ b/src/fleet/purges.cpp
@@ -53,10 +53,22 @@
 const Entry& Purges::issue(Kind kind, std::string what, Sec now) {
   const auto& e = book_.issue(setup_.self, kind, std::move(what), now);
   heard(e);
-  if (!setup_.lasting) sync_->issued(e);  // else once it is stored
+  if (!setup_.lasting) sync_->issued(e);     // else once it is stored
+  constexpr std::size_t kMostWatched = 256;  // more than an operator looks at
+  issued_.emplace_back(e.stamp, 0);
+  if (issued_.size() > kMostWatched) issued_.pop_front();
+  look_accepted(now);
   return e;
 }
 
+void Purges::look_accepted(Sec now) {
+  for (auto& [stamp, at] : issued_) {
+    if (at > 0) continue;
+    const auto* e = book_.find(stamp.issuer, stamp.number);
+    if (e != nullptr && sync_->holders(*e) >= sync_->majority()) at = now;
+  }
+}
+
 Took Purges::take(const Stamp& stamp, Kind kind, std::string_view what, Sec now) {
   if (kind == Kind::pattern && Patterns::refusal(what))
     kind = Kind::all, what = {};  // another version's: more
@@ -70,6 +82,7 @@
   if (!sync_) return;
   if (const auto before = sync_->take_all_before()) ++changes_, cover_.all(*before);
   if (sync_->take_lost()) issue(Kind::all, "", now);
+  look_accepted(now);
 }
 
 void Purges::restore(const Entry& e, Sec now) {
@@ -94,7 +107,7 @@
   return setup_.lasting ? book_.from_place(to_store_ + 1) : nullptr;
 }
 
-void Purges::stored(std::uint64_t place) {
+void Purges::stored(std::uint64_t place, Sec now) {
   const auto before = stored_;
   stored_ = std::max(stored_, place);
   book_.stored(stored_);
@@ -103,12 +116,15 @@
        e = book_.from_place(e->place + 1))
     if (e->stamp.issuer == setup_.self) sync_->issued(*e);
   sync_->hold_more();
+  look_accepted(now);
 }
 
 Purges::Standing Purges::standing(const Entry& e) const {
   Standing s{.held = true, .routers = setup_.peers + 1};
   s.holders = sync_->holders(e);
   s.accepted = s.holders >= sync_->majority();
+  for (const auto& [stamp, at] : issued_)
+    if (stamp == e.stamp) s.accepted_at = at;
   s.lacking = sync_->lacking(e);
   s.unconfirmed = boxes_.missing(e.place);
   return s;
--- a/src/fleet/purges.h
+++ b/src/fleet/purges.h
@@ -41,6 +41,8 @@
     bool held = false;      // stands in the book
     bool accepted = false;  // a majority holds it: it will be in force everywhere within the lease
     int holders = 0, routers = 0;
+    Sec accepted_at =
+        0;  // of one issued here since the start: when that was first seen; 0 where it is not known
     std::vector<int> lacking{}, unconfirmed{};  // peers, boxes
   };
 
@@ -73,7 +75,7 @@
   void handed_to_store(const Entry& entry) { to_store_ = entry.place; }
   const Stamp* next_to_erase() const { return to_erase_.empty() ? nullptr : &to_erase_.front(); }
   void erased() { to_erase_.pop_front(); }
-  void stored(std::uint64_t place);
+  void stored(std::uint64_t place, Sec now);
 
   // What holds for a txn's copies.
   Sec since(std::uint64_t object, std::uint32_t group, std::string_view name, Sec now) {
@@ -97,6 +99,7 @@
 
  private:
   void heard(const Entry& entry);
+  void look_accepted(Sec now);
 
   const Setup setup_;
   Book book_;
@@ -106,6 +109,7 @@
   bool gap_ = false;
   std::uint64_t changes_ = 0, stored_ = 0, to_store_ = 0;
   std::deque<Stamp> to_erase_;
+  std::deque<std::pair<Stamp, Sec>> issued_;  // here, the latest, and when each was accepted
 };
 
 }  // namespace walkpaddle::fleet
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <exception>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 
 #include "control/command.h"
 #include "control/file.h"
@@ -20,10 +21,17 @@
 
 constexpr int kRefused = 1, kWrongUse = 2;
 
+struct WrongUse : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 template <class F>
 int plainly(F&& call) {
   try {
     return call(), 0;
+  } catch (const WrongUse& e) {
+    fmt::print(stderr, "walkpaddle: {}\n", e.what());
+    return kWrongUse;
   } catch (const std::exception& e) {
     fmt::print(stderr, "walkpaddle: {}\n", e.what());
     return kRefused;
@@ -51,7 +59,7 @@
 // The socket to talk to: named, or the one that the operator's file names.
 std::string socket_of(const std::string& socket, const std::string& file) {
   if (!socket.empty()) return socket;
-  if (file.empty()) throw Malformed("name the router by --socket or --file");
+  if (file.empty()) throw WrongUse("name the router by --socket or --file");
   const auto named = control::read_file(file).socket;
   if (named.empty()) throw Malformed(file + " names no operators' socket");
   return named;
--- a/standins/world.cpp
+++ b/standins/world.cpp
@@ -169,6 +169,21 @@
     answer("served", *copy, "mem");
     co_return;
   }
+  // One that may join waits for the fill that is under way, and takes what it brought if that is young
+  // enough.
+  const auto flags = net::field(fields, "flags").value_or("");
+  if (const auto it = filling_.find(object);
+      it != filling_.end() && flags.find("join") != std::string_view::npos) {
+    const auto fill = it->second;
+    while (filling_.contains(object) && filling_[object] == fill)
+      co_await wait.wait(scheduler_.now() + 0.002);
+    if (starts_ != start || c->stream.broken()) co_return;
+    if (fill->version > 0 && good(object, *fill, oldest)) {
+      ++counts_.joined;
+      answer("served", *fill, "shared");
+      co_return;
+    }
+  }
   Server* from = nullptr;
   for (auto* s : all_)
     if (s->id_ == source && s != this) from = s;
@@ -179,6 +194,16 @@
   // From here to the source and back; a parent that lacks it goes on to the origin. A copy is as old as the
   // moment at which the origin was read.
   ++counts_.fills;
+  const auto fill = filling_[object] = std::make_shared<Copy>();
+  struct Over {
+    Server& server;
+    const std::string& object;
+    const std::shared_ptr<Copy>& fill;
+    ~Over() {
+      if (const auto it = server.filling_.find(object); it != server.filling_.end() && it->second == fill)
+        server.filling_.erase(it);
+    }
+  } over{*this, object, fill};
   Copy copy;
   bool found = false;
   const Sec began = scheduler_.now();
@@ -206,6 +231,7 @@
     c->stream.write(net::words_text({id, "not_here", "tell=absent"}));
     co_return;
   }
+  *fill = copy;
   if (kept && !dropped(object, copy)) copies_[object] = copy;
   answer("served", copy, from->kind_ == Kind::origin ? "origin" : "parent");
 }
--- a/standins/world.h
+++ b/standins/world.h
@@ -36,7 +36,7 @@
     bool tells_tags = true;
   };
   struct Counts {
-    int served = 0, hits = 0, fills = 0, confirmed = 0, asked_cursor = 0;
+    int served = 0, hits = 0, fills = 0, joined = 0, confirmed = 0, asked_cursor = 0;
   };
   Server(Scheduler& scheduler, Outbox& outbox, std::string id, Kind kind, const Habits& habits);
 
@@ -79,6 +79,7 @@
   int port_ = 0;
   std::vector<Server*> all_;
   std::map<std::string, Copy> copies_;
+  std::map<std::string, std::shared_ptr<Copy>> filling_;  // by object; version 0 until it is there
   Drops drops_;
   Sec frozen_until_ = 0;
   std::uint64_t starts_ = 0;
--- a/tests/fleet_sockets.cpp
+++ b/tests/fleet_sockets.cpp
@@ -398,13 +398,13 @@
     std::ifstream log(folder_ + "/log");
     int set_aside = 0;
     for (std::string line; std::getline(log, line);) set_aside += line.find(" old: ") != std::string::npos;
-    int fills = 0;
-    for (const auto& s : servers_) fills += s->counts().fills;
+    int fills = 0, joined = 0;
+    for (const auto& s : servers_) fills += s->counts().fills, joined += s->counts().joined;
     std::fprintf(stderr,
                  "answers %d, old %d, twice %d, lost %d, refused %d, purges %zu accepted %td, versions "
-                 "behind within the delay %d, fills %d, liar seen %d\n",
+                 "behind within the delay %d, fills %d, joined %d, liar seen %d\n",
                  answers_, old_, twice_, lost_, refused_, purges_.size(), accepted, stale_meanwhile_, fills,
-                 set_aside);
+                 joined, set_aside);
     std::printf("answers: %s\n", answers_ > 100 * length_ ? "enough to tell" : "TOO FEW");
     std::printf("past the delay: %s\n", old_ == 0 ? "no old copy" : "OLD COPIES");
     std::printf("final answers: %s\n", twice_ == 0 && lost_ == 0 ? "one each" : "TWICE OR NEVER");
@@ -413,6 +413,7 @@
                                     : "NOT ACCEPTED");
     std::printf("a box that confirmed and answered old: %s\n",
                 set_aside > 0 ? "seen, set aside, logged" : "NOT SEEN");
+    std::printf("fills under way: %s\n", joined > 0 ? "joined" : "NEVER JOINED");
     std::printf("healed: %s\n",
                 confirmed_ ? "every router and box has confirmed the last purge" : "NOT CONFIRMED BY ALL");
     return old_ == 0 && twice_ == 0 && lost_ == 0;
--- a/tests/fleet_world.cpp
+++ b/tests/fleet_world.cpp
@@ -172,7 +172,7 @@
       const auto done = std::move(node.writing.front());
       node.writing.erase(node.writing.begin());
       node.disk.insert(node.disk.end(), done.what.begin(), done.what.end());
-      p.stored(done.place);
+      p.stored(done.place, local(n));
     }
     p.trim(local(n));
     while (const auto* gone = p.next_to_erase()) {
--- a/tests/purge_parts.cpp
+++ b/tests/purge_parts.cpp
@@ -135,6 +135,35 @@
           Patterns::refusal("((a{0,200}){0,200}){0,200}") && !Patterns::refusal("0*1[0-9a-f]"));
 }
 
+// What the bus and the fleet tell of the same object is one thing: the newer counts, whichever comes first. A
+// gap in the bus's numbers bounds all ages until it is filled, or all copies from before are old.
+void bus_and_fleet() {
+  const auto object = stable_hash(object_name(7));
+  bool good = true;
+  for (const bool bus_first : {true, false}) {
+    fleet::Purges::Setup setup;
+    setup.fleet = true, setup.copy_life = 1000;
+    fleet::Purges purges(setup, 1000);
+    if (bus_first) purges.bus_object(object, 1010);
+    purges.issue(Kind::object, object_name(7), 1020);
+    if (!bus_first) purges.bus_object(object, 1010);
+    good = good && purges.since(object, 0, object_name(7), 1030) == 1020;
+    purges.bus_object(object, 1025);
+    good = good && purges.since(object, 0, object_name(7), 1030) == 1025;
+  }
+  say("a purge told by bus and by fleet is one", good);
+  fleet::Purges purges({}, 1000);
+  const bool none = purges.age_limit(1001) == 0;
+  purges.bus_gap(true, 1001);
+  const bool bounded = purges.age_limit(1002) > 0 && purges.age_limit(1002) < 0.5;
+  purges.bus_gap(false, 1003);
+  const bool filled = purges.age_limit(1003) == 0 && purges.since(object, 0, {}, 1003) == 0;
+  purges.bus_gap(true, 1004);
+  purges.bus_lost(1005);
+  say("a gap of the bus bounds ages until it is filled or given up",
+      none && bounded && filled && purges.age_limit(1005) == 0 && purges.since(object, 0, {}, 1005) == 1005);
+}
+
 struct Heard final : fleet::Messages {
   std::string text;
   void hello(int version, std::string_view name) override {
@@ -274,6 +303,7 @@
   say("a cover past its bound says more, never less", cover_property(3, false));
   say("one order, however entries come, and no gap passed over", order_property());
   patterns();
+  bus_and_fleet();
   messages();
   stores();
   return all_good ? 0 : 1;
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -356,7 +356,7 @@
     return text;
   }
 
-  // bus up | down | takes | drains NAME | purges OBJECT | bytes ...
+  // bus up | down | counts N | takes | drains NAME | purges OBJECT | bytes ...
   void bus(const std::vector<std::string>& w) {
     if (w[1] == "up") {
       if (!readable(bus_.fd.get(), 10000)) fail("router at the bus");
@@ -367,6 +367,8 @@
       std::printf("bus is asked from event %d\n", hello[7]);
     } else if (w[1] == "down") {
       bus_.conns.clear();
+    } else if (w[1] == "counts") {  // the last number; the next event has the one after it
+      event_ = std::stoi(w[2]);
     } else if (w[1] == "drains") {
       auto& s = servers_[w[2]];
       const auto id = std::stoul(server_id(w[2]).substr(2), nullptr, 16);
