Measured: fills and reads of the origin while every router is cut off

Need: the purges' design promises that failing closed does not flood the origin; that was measured in virtual time only. Change: fleet_sockets cut plays calm, eight seconds with every router alone, and healed, and counts at the stand-ins.

--- a/standins/world.cpp
+++ b/standins/world.cpp
@@ -214,6 +214,7 @@
     copy = *there, found = true;
   } else if (from->kind_ != Kind::box) {
     auto* origin = *std::ranges::find(all_, Kind::origin, &Server::kind_);
+    ++origin->counts_.read;
     copy = {origin->version(object), scheduler_.now(),
             origin->held(object) != nullptr ? origin->held(object)->tags : std::vector<std::string>{}};
     if (from->kind_ == Kind::parent) {
--- a/standins/world.h
+++ b/standins/world.h
@@ -36,7 +36,7 @@
     bool tells_tags = true;
   };
   struct Counts {
-    int served = 0, hits = 0, fills = 0, joined = 0, confirmed = 0, asked_cursor = 0;
+    int served = 0, hits = 0, fills = 0, joined = 0, read = 0, confirmed = 0, asked_cursor = 0;
   };
   Server(Scheduler& scheduler, Outbox& outbox, std::string id, Kind kind, const Habits& habits);
 
--- a/tests/fleet_sockets.cpp
+++ b/tests/fleet_sockets.cpp
@@ -3,6 +3,7 @@
 // accepted for longer than the promised delay, no answer brings a version from before it.
 //   fleet_sockets [SEED [SECONDS]]     figures go to standard error
 //   fleet_sockets measure              accept to in force at three routers, calm
+//   fleet_sockets cut                  fills while every router is alone
 #include <fcntl.h>
 #include <fmt/core.h>
 #include <signal.h>
@@ -99,6 +100,12 @@
     return report();
   }
 
+  void measure_cut() {
+    scheduler_.start(time_cut());
+    for (int n = 0; n < kRouters; ++n) scheduler_.start(clients_of(n));
+    scheduler_.run();
+  }
+
   void measure(int purges) {
     scheduler_.start(time_purges(purges));
     for (int n = 0; n < kRouters; ++n) scheduler_.start(clients_of(n));
@@ -393,6 +400,30 @@
     scheduler_.stop();
   }
 
+  // What a cut costs: fills and reads of the origin a second, calm and with every router alone.
+  Task time_cut() {
+    constexpr Sec kLong = 8;
+    Event wait(scheduler_);
+    co_await wait.wait(scheduler_.now() + 3);
+    for (const bool cut : {false, true, false}) {
+      for (const auto& [pair, relay] : relays_) relay->cut(cut ? scheduler_.now() + kLong : 0);
+      const auto fills = [&] {
+        int count = 0;
+        for (const auto& s : servers_) count += s->counts().fills;
+        return count;
+      };
+      const int fills_before = fills(), read_before = origin().counts().read, answers = answers_,
+                refused = refused_;
+      co_await wait.wait(scheduler_.now() + kLong);
+      std::printf("%s: %.0f answers a second, %d refused, %.1f fills and %.1f reads of the origin a second\n",
+                  cut ? "every router alone" : "calm", (answers_ - answers) / kLong, refused_ - refused,
+                  (fills() - fills_before) / kLong, (origin().counts().read - read_before) / kLong);
+    }
+    over_ = true;
+    co_await wait.wait(scheduler_.now() + 0.1);
+    scheduler_.stop();
+  }
+
   bool report() {
     const auto accepted = std::ranges::count_if(purges_, [](const Purge& p) { return p.accepted >= 0; });
     std::ifstream log(folder_ + "/log");
@@ -440,6 +471,7 @@
 
 int main(int argc, char** argv) {
   if (argc > 1 && std::strcmp(argv[1], "measure") == 0) return Play(1, 0).measure(300), 0;
+  if (argc > 1 && std::strcmp(argv[1], "cut") == 0) return Play(1, 0).measure_cut(), 0;
   return Play(argc > 1 ? static_cast<unsigned>(std::atoi(argv[1])) : 1, argc > 2 ? std::atof(argv[2]) : 20)
                  .run()
              ? 0
