Lookups by DNS for one zone, decided by the module as txns that stand for unseen ones

Change: src/dns with messages by ldns (every length checked first), the zone's names, and a front over UDP and TCP, off without the operator's section dns. A lookup's hop stays out for the zone's use, so limits, fair parts and cold budgets count what follows it; the module learns nothing from it, takes nobody for silent by it, and lets no lookup overdraw a cold box. Router takes further fronts from main. Limits that were never cut do not hold lookups: with them and with links held, two answers a second came before REFUSED.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -141,7 +141,7 @@
   int rule = 0, out = 0, turned_away = 0;
   std::uint64_t object = 0;
   std::uint32_t group = 0;
-  double kbytes = 0;
+  double kbytes = 0, in_flight = 1, stands_for = 0;  // stands_for: a lookup's unseen txns, 0 for a txn
   Sec taken = 0, expires = 0, may_have_run = kNever, since = 0;  // since: copies made before are purged
   int ran_at = -1;
   std::vector<Hop> hops{};
@@ -187,6 +187,9 @@
     finish(txns[i]);
   }
   void load_told(int m, double busy) override { member(m).busy = busy; }
+  void stands_for(int i, double in_flight, double all) override {
+    txns[i].in_flight = in_flight, txns[i].stands_for = all;
+  }
   void copies_since(int i, Sec made) override { txns[i].since = made; }
   void copies_within(Sec age) override { oldest = age; }
   void woken() override {
@@ -314,14 +317,14 @@
     };
     for (const auto& t : txns)
       for (const auto& h : t.hops)
-        if (h.out)
+        if (h.out && t.stands_for <= 0)  // what follows a lookup is never heard of
           if (const int m = stuck(h); m >= 0) ++waiting[m];
     for (std::size_t m = 0; m < members.size(); ++m)
       if (waiting[m] >= 2 && now >= members[m].aside_until) set_aside(members[m]);
     if (!hopping.can_call_off) return;
     for (std::size_t i = 0; i < txns.size(); ++i) {
       auto& t = txns[i];
-      if (!t.live || rules[t.rule].effect != Effect::repeatable) continue;
+      if (!t.live || t.stands_for > 0 || rules[t.rule].effect != Effect::repeatable) continue;
       for (std::size_t n = 0; n < t.hops.size(); ++n) {
         auto& h = t.hops[n];
         if (!h.out || h.moving) continue;
@@ -369,11 +372,13 @@
     return kMargin * r.multiple * certain * part;
   }
   // Hops count at their rule's mean, fills at a parent at their own work.
-  bool cold_room(const Member& x, double work) const {
+  // A txn alone may overdraw; a lookup, which may stand for thousands, may not.
+  bool cold_room(const Member& x, double work, double stands_for = 0) const {
     if (!is_cold(x)) return true;
+    work *= std::max(1.0, stands_for);
     const double rate = cold_rate(x);
     const double spent = std::max(0.0, x.spent - rate * (now - x.spent_at));
-    return spent <= 0 || spent + work <= rate * rule_of(x).window / 4;
+    return (spent <= 0 && stands_for <= 1) || spent + work <= rate * rule_of(x).window / 4;
   }
   void spend(Member& x, double work) {
     if (!is_cold(x)) return;
@@ -444,7 +449,9 @@
     return t.kbytes > 0 && filling.pace > 0 ? t.kbytes / filling.pace : mean_work[t.rule].mean;
   }
   // What a hop weighs against limits and bounds: its work in mean txns; a video counts for many pages.
-  double weight_of(const Txn& t) const { return std::clamp(work_of(t) / mean_txn, 0.1, 5.0); }
+  double weight_of(const Txn& t) const {
+    return t.stands_for > 0 ? t.in_flight : std::clamp(work_of(t) / mean_txn, 0.1, 5.0);
+  }
 
   // The first in order that is usable and fits; without room everywhere the txn waits.
   int first_of(const std::vector<int>& all, const std::function<bool(int)>& fit) const {
@@ -485,8 +492,13 @@
     const auto takes = [&](int m) {
       const auto& x = members[m];
       const double fair_part = std::max(kFew, kOver * (used + 1) * x.weight / std::max(size, 1e-9));
-      return !failed_at(t, m) && x.hops.room(w) && x.hops.used + w <= fair_part && cold_room(x, work);
+      // No answer will make a limit grow for lookups: one that was never cut does not hold them.
+      const bool room = x.hops.room(w) || (t.stands_for > 0 && !x.hops.crowded);
+      return !failed_at(t, m) && room && x.hops.used + w <= fair_part && cold_room(x, work, t.stands_for);
     };
+    // A lookup names no source: what its client's misses draw is the cache's own doing, and unseen.
+    if (t.stands_for > 0)
+      if (const int m = first_of(caches, takes); m >= 0) return {m, m, false};
     p.member = first_of(caches, [&](int m) {
       return takes(m) &&
              ((sib_known && e.sib == m) || (members[m].fills.room(w * chance) && link.room(w * chance)));
@@ -605,7 +617,7 @@
     if (h.fill && x.role == Role::cache && !t.looked && !r.uncacheable) h.chance = misses.mean;
     t.looked = t.looked || (p.source == p.member && x.role == Role::cache);
     charge(t, h, 1);
-    spend(x, x.role == Role::cache ? mean_work[t.rule].mean : work);
+    spend(x, (x.role == Role::cache ? mean_work[t.rule].mean : work) * std::max(1.0, t.stands_for));
     if (auto& s = members[p.source]; p.source != p.member)
       spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
--- a/src/brain.h
+++ b/src/brain.h
@@ -127,6 +127,9 @@
   virtual void list_failed() = 0;
   virtual void txn_taken(int txn, int rule, std::uint64_t object, int part, std::uint32_t group,
                          double kbytes, Sec expires, bool repeat) = 0;
+  // After txn_taken: the txn is a lookup, which the host answers with the member. Its hop stays out for as long as
+  // what follows unseen may last, and then ends as not_sent. It stands for so many txns, in flight at a time.
+  virtual void stands_for(int txn, double in_flight, double txns) = 0;
   virtual void txn_left(int txn) = 0;
   virtual void load_told(int member, double busy) = 0;  // share of its capacity that it reports in use
   // sending: the answer's own time at a client's pace, by its bytes; 0 where they are not seen
--- a/src/control/file.cpp
+++ b/src/control/file.cpp
@@ -2,6 +2,7 @@
 
 #include <confuse.h>
 
+#include <algorithm>
 #include <cstdarg>
 #include <cstdio>
 #include <cstring>
@@ -73,6 +74,17 @@
   return -1;
 }
 
+bool is_domain(std::string_view name) {
+  constexpr std::size_t kLongestName = 200, kLongestLabel = 63;  // labels of ours stand before it
+  if (name.empty() || name.size() > kLongestName) return false;
+  while (!name.empty()) {
+    const auto label = cut(name, '.');
+    const auto stands = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-'; };
+    if (label.empty() || label.size() > kLongestLabel || !std::ranges::all_of(label, stands)) return false;
+  }
+  return true;
+}
+
 std::string text_of(cfg_t* cfg, const char* name) {
   const char* text = cfg_getstr(cfg, name);
   return text == nullptr ? "" : text;
@@ -99,19 +111,26 @@
                        CFG_END()};
   cfg_opt_t control[] = {CFG_STR("socket", nullptr, CFGF_NODEFAULT), CFG_END()};
   cfg_opt_t boxes[] = {CFG_BOOL("tell_purges", cfg_false, CFGF_NONE), CFG_END()};
+  cfg_opt_t dns[] = {CFG_STR("listen", nullptr, CFGF_NODEFAULT),
+                     CFG_STR("zone", nullptr, CFGF_NODEFAULT),
+                     CFG_STR("server", nullptr, CFGF_NODEFAULT),
+                     CFG_INT("use", 1, CFGF_NONE),
+                     CFG_FLOAT("txns", 1, CFGF_NONE),
+                     CFG_END()};
   cfg_opt_t log[] = {CFG_STR("form", "text", CFGF_NONE), CFG_END()};
   cfg_opt_t all[] = {CFG_SEC("fleet", fleet, CFGF_MULTI),
                      CFG_SEC("store", store, CFGF_MULTI),
                      CFG_SEC("control", control, CFGF_MULTI),
                      CFG_SEC("boxes", boxes, CFGF_MULTI),
                      CFG_SEC("log", log, CFGF_MULTI),
+                     CFG_SEC("dns", dns, CFGF_MULTI),
                      CFG_INT(kEnd, 0, CFGF_NONE),
                      CFG_END()};
   const std::unique_ptr<cfg_t, decltype(&cfg_free)> owned(cfg_init(all, CFGF_NONE), &cfg_free);
   cfg_t* cfg = owned.get();
   first_error.clear();
   cfg_set_error_function(cfg, keep_error);
-  for (const char* section : {"fleet", "store", "control", "boxes", "log"})
+  for (const char* section : {"fleet", "store", "control", "boxes", "log", "dns"})
     cfg_set_validate_func(cfg, section, one_alone);
   cfg_set_validate_func(cfg, "fleet|listen", address_reads);
   cfg_set_validate_func(cfg, "fleet|peer|address", address_reads);
@@ -121,6 +140,9 @@
   cfg_set_validate_func(cfg, "fleet|objects", within<16, 4'000'000>);
   cfg_set_validate_func(cfg, "store|megabytes", within<1, 65536>);
   cfg_set_validate_func(cfg, "log|form", form_known);
+  cfg_set_validate_func(cfg, "dns|listen", address_reads);
+  cfg_set_validate_func(cfg, "dns|use", within<1, 3600>);
+  cfg_set_validate_func(cfg, "dns|txns", within<1, 100000>);
   std::ifstream in(path);
   const std::string text{std::istreambuf_iterator<char>(in), {}};
   if (!in.is_open() || in.bad()) throw Malformed("cannot read " + path);
@@ -175,6 +197,19 @@
     f.tell_boxes = cfg_getbool(s, "tell_purges") == cfg_true;
     if (f.tell_boxes && !f.fleet.on) refuse(path, s, "tell_purges without fleet");
   }
+  if (cfg_size(cfg, "dns") > 0) {
+    auto* s = cfg_getnsec(cfg, "dns", 0);
+    auto& to = f.dns;
+    to.on = true;
+    to.listen = text_of(s, "listen"), to.zone = text_of(s, "zone"), to.server = text_of(s, "server");
+    to.use = static_cast<Sec>(cfg_getint(s, "use")), to.txns = cfg_getfloat(s, "txns");
+    for (const auto& [name, value] :
+         {std::pair{"listen", to.listen}, {"zone", to.zone}, {"server", to.server}})
+      if (value.empty()) refuse(path, s, std::string("dns without ") + name);
+    for (const auto& name : {to.zone, to.server})
+      if (!is_domain(name))
+        refuse(path, s, "'" + name + "', expected a domain name in lower case without the last dot");
+  }
   if (cfg_size(cfg, "log") > 0) f.log_json = text_of(cfg_getnsec(cfg, "log", 0), "form") == "json";
   return f;
 }
--- a/src/control/file.h
+++ b/src/control/file.h
@@ -21,6 +21,12 @@
     Sec lease = 2, beat = 0.4, copy_life = 86400;
     int entries = 65536, objects = 16384;
   } fleet;
+  struct Dns {
+    bool on = false;
+    std::string listen, zone, server;
+    Sec use = 1;      // how long a client uses an answer
+    double txns = 1;  // that one answer leads to meanwhile
+  } dns;
   std::string store_folder;  // empty: all in memory
   int store_megabytes = 256;
   std::string socket;  // of the operators; empty: none
--- a/src/fleet/purges.cpp
+++ b/src/fleet/purges.cpp
@@ -145,6 +145,11 @@
   return made < std::max(cover_.newest(object, group, name, now), cover_.newest_of(tags, now));
 }
 
+bool Purges::confirmed(int box, Sec heard) const {
+  const auto* next = book_.from_place(boxes_.confirmed_by(box) + 1);
+  return next == nullptr || next->from > heard;
+}
+
 void Purges::trim(Sec now) {
   constexpr std::size_t kATurn = 256;
   cover_.trim(now);
--- a/src/fleet/purges.h
+++ b/src/fleet/purges.h
@@ -91,6 +91,8 @@
   std::uint64_t changes() const { return changes_; }  // of the cover, since the start
 
   void trim(Sec now);  // a bounded part a call
+  // Whether a box has confirmed every purge that was heard by then: paths past the routers may lead there.
+  bool confirmed(int box, Sec heard) const;
   Boxes& boxes() { return boxes_; }
   const Book& book() const { return book_; }
   const Setup& setup() const { return setup_; }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 
 #include "control/command.h"
 #include "control/file.h"
+#include "dns/front.h"
 #include "net/config.h"
 #include "net/router.h"
 #include "text.h"
@@ -53,7 +54,16 @@
   const auto operators = file.empty() ? control::File{} : control::read_file(file);
   const bool json = log_form.empty() ? operators.log_json : log_form == "json";
   Log log(config.name, json ? Log::Form::json : Log::Form::text);
-  net::Router(std::move(config), operators, read, log).run();
+  net::Router router(std::move(config), operators, read, log);
+  if (const auto& d = operators.dns; d.on)
+    router.add([&](const net::Router::Parts& p) {
+      std::vector<std::string> rules;
+      for (const auto& rule : net::rule_names(p.settings)) rules.push_back(rule.name);
+      return std::make_shared<dns::Front>(p.scheduler, p.outbox, p.log, p.desk, p.caches,
+                                          dns::Zone({d.zone, d.server, d.use, d.txns}, std::move(rules)),
+                                          parse_address(d.listen));
+    });
+  router.run();
 }
 
 // The socket to talk to: named, or the one that the operator's file names.
--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -123,6 +123,13 @@
 }
 
 std::string_view Caches::id(int member) const { return peer(member).id; }
+const Address& Caches::address(int member) const { return peer(member).address; }
+bool Caches::listed_ready(int member) const { return peer(member).state == Listed::ready; }
+
+int Caches::known(std::string_view id) const {
+  const auto it = index_.find(std::string(id));
+  return it == index_.end() ? -1 : it->second;
+}
 
 template <class F>
 void Caches::drop_unsent(F&& concerned) {
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -82,6 +82,9 @@
 
   int member(std::string_view id);  // its index, given at first sight
   std::string_view id(int member) const;
+  int known(std::string_view id) const;  // -1 for none
+  const Address& address(int member) const;
+  bool listed_ready(int member) const;
   void told(int member, const Address& address, Listed state);
   // Commands to a member beside the hops, and what comes back of them: over one connection, in order; a
   // dial if there is none. `commands` is told the words of each answer and of each connection that is lost.
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -37,6 +37,8 @@
   desk_.input().hop_ended(slot_, hops_ - 1, verdict, note, took, sending, txn_over);
 }
 
+void Seat::stands_for(double in_flight, double txns) { desk_.input().stands_for(slot_, in_flight, txns); }
+
 void Seat::leave() {
   if (std::exchange(left_, true)) return;
   desk_.input().txn_left(slot_);
--- a/src/net/desk.h
+++ b/src/net/desk.h
@@ -29,7 +29,8 @@
   std::optional<Decision> decision() { return std::exchange(decision_, std::nullopt); }
   void hop_out(Hop* hop) { hop_ = hop; }
   void hop_ended(Verdict verdict, Note note, Sec took, Sec sending, bool txn_over);
-  void leave();  // the client waits no more
+  void stands_for(double in_flight, double txns);  // it is a lookup; at once after the making
+  void leave();                                    // the client waits no more
   bool left() const { return left_; }
   Sec since() const { return since_; }  // copies made before are purged, as the module knows it
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -33,6 +33,7 @@
   // Each peer and its next connection, some strangers, operators, the store's file, lock and words.
   if (file.fleet.on) own += 2 * static_cast<int>(file.fleet.peers.size()) + 6;
   if (!file.socket.empty()) own += 9;
+  if (file.dns.on) own += 18;  // two sockets and the most connections of lookups
   if (!file.store_folder.empty()) own += 4;
   clients = static_cast<std::size_t>(std::max(2, (sockets - own) / 2));
   caches = static_cast<std::size_t>(std::max(2, sockets - own - (sockets - own) / 2));
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "control/file.h"
 #include "control/operators.h"
@@ -26,6 +27,19 @@
   ~Router();
   void run();  // returns once stopped
 
+  // What a further front stands on; it lives as long as the router.
+  struct Parts {
+    Scheduler& scheduler;
+    Outbox& outbox;
+    Log& log;
+    Desk& desk;
+    Caches& caches;
+    const Settings& settings;
+  };
+  void add(const std::function<std::shared_ptr<void>(const Parts&)>& front) {
+    fronts_.push_back(front({scheduler_, outbox_, log_, desk_, caches_, config_.settings}));
+  }
+
  private:
   enum class Phase { starting, serving, draining, stopped };
   struct Signals final : Scheduler::Watcher {
@@ -75,6 +89,7 @@
   std::unique_ptr<fleet::Links> links_;
   std::unique_ptr<Teller> teller_;
   std::unique_ptr<control::Operators> operators_;
+  std::vector<std::shared_ptr<void>> fronts_;
 };
 
 }  // namespace walkpaddle::net
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -29,6 +29,11 @@
 #include "purge/cover.h"
 #include "text.h"
 
+// Last: it makes macros of "true" and "false".
+#include <ldns/ldns.h>
+#undef true
+#undef false
+
 using namespace walkpaddle;
 
 namespace {
@@ -192,6 +197,7 @@
     if (what == "send") return send(clients_[w[1]], net_words({w.begin() + 2, w.end()})), true;
     if (what == "bytes")
       return send(clients_[w[1]], unescaped(text.substr(text.find(w[1]) + w[1].size() + 1))), true;
+    if (what == "looks") return looks(w[1], w[2], w.size() > 3), true;
     if (what == "gets")
       return std::printf("%s gets %s\n", w[1].c_str(), next_of(clients_[w[1]]).c_str()), true;
     if (what == "ends") return ends(w[1]), true;
@@ -328,6 +334,61 @@
 
   static void noise(const Server& s, const std::string& bytes) { send(s.conns.at(s.last), bytes); }
 
+  // looks TYPE NAME [tcp]: one query; prints the code and the records, members by their names.
+  void looks(const std::string& type, const std::string& name, bool tcp) {
+    std::string query("\x12\x34\x01\x00\x00\x01\x00\x00\x00\x00\x00\x00", 12);
+    std::istringstream labels(name);
+    for (std::string label; std::getline(labels, label, '.');)
+      query += static_cast<char>(label.size()) + label;
+    const std::map<std::string, int> types{{"A", 1},     {"NS", 2},   {"SOA", 6},  {"TXT", 16},
+                                           {"AAAA", 28}, {"SRV", 33}, {"ANY", 255}};
+    query += std::string("\0\0", 2) + static_cast<char>(types.at(type)) + std::string("\0\x01", 2);
+    Fd fd(::socket(AF_INET, tcp ? SOCK_STREAM : SOCK_DGRAM, 0));
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(static_cast<std::uint16_t>(dns_port_));
+    if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) != 0) fail("lookups");
+    if (tcp) query.insert(0, std::string(1, '\0') + static_cast<char>(query.size()));
+    if (::send(fd.get(), query.data(), query.size(), 0) < 0 || !readable(fd.get(), 5000)) {
+      std::printf("%s %s: nothing\n", type.c_str(), name.c_str());
+      return;
+    }
+    char room[4096];
+    const auto got = ::recv(fd.get(), room, sizeof room, 0);
+    std::string_view reply(room, static_cast<std::size_t>(std::max<ssize_t>(0, got)));
+    if (tcp) reply.remove_prefix(std::min<std::size_t>(2, reply.size()));
+    auto text = described(reply);
+    for (const auto& [other, server] : servers_)
+      for (auto at = text.find(" " + std::to_string(server.port) + " "); at != std::string::npos;
+           at = std::string::npos)
+        text.replace(at + 1, std::to_string(server.port).size(), "PORT");
+    for (const auto& [other, server] : servers_)
+      for (auto at = text.find(server_id(other)); at != std::string::npos; at = text.find(server_id(other)))
+        text.replace(at, 10, other);
+    std::printf("%s %s: %s\n", type.c_str(), name.c_str(), text.c_str());
+  }
+
+  static std::string described(std::string_view reply) {
+    ldns_pkt* packet = nullptr;
+    if (ldns_wire2pkt(&packet, reinterpret_cast<const std::uint8_t*>(reply.data()), reply.size()) !=
+        LDNS_STATUS_OK)
+      return "no message";
+    std::string text = "code " + std::to_string(ldns_pkt_get_rcode(packet)) +
+                       (ldns_pkt_tc(packet) ? " cut" : "") + (ldns_pkt_aa(packet) ? "" : " not its own");
+    for (const auto* list : {ldns_pkt_answer(packet), ldns_pkt_authority(packet)})
+      for (std::size_t n = 0; n < ldns_rr_list_rr_count(list); ++n) {
+        char* rr = ldns_rr2str(ldns_rr_list_rr(list, n));
+        std::string line(rr);
+        std::free(rr);
+        std::ranges::replace(line, '\t', ' ');
+        if (!line.empty()) line.pop_back();
+        text += "; " + line;
+      }
+    ldns_pkt_free(packet);
+    return text;
+  }
+
   // Reads all that a client was sent, up to the close.
   void ends(const std::string& name) {
     std::string got = "nothing";
@@ -393,20 +454,29 @@
     return member_text(server_id(name), s.port, where, kind);
   }
 
-  void start(const std::string& caches) {
+  // router [dns] CACHE ...: with an operator's file that switches lookups on
+  void start(std::string caches) {
+    const bool with_dns = caches.find("dns") != std::string::npos;
+    if (with_dns) caches.erase(0, caches.find("dns") + 3);
     std::string list, names = caches.empty() ? "c1" : caches;
     std::istringstream in(names);
     for (std::string name; in >> name;) list += listed(name, "edge", "cache") + ",";
     list += listed("par", "hub", "parent") + "," + listed("origin", "hub", "origin");
     bus_.fd = listen_at(bus_.port);
     { const auto free = listen_at(port_); }
-    config_ = config_text("n0", port_, bus_.port, list, R"({"sockets":40,"memory_mb":3})");
+    config_ = config_text("n0", port_, bus_.port, list,
+                          with_dns ? R"({"sockets":80,"memory_mb":8})" : R"({"sockets":40,"memory_mb":3})");
     folder_ = std::filesystem::temp_directory_path() / ("walkpaddle-" + std::to_string(::getpid()));
     std::filesystem::create_directory(folder_);
     std::ofstream(folder_ / "config.json") << config_;
+    { const auto free = listen_at(dns_port_); }
+    std::ofstream(folder_ / "walkpaddle.conf")
+        << "dns {\n listen = \"127.0.0.1:" << dns_port_
+        << "\"\n zone = \"z.example\"\n server = \"ns.z.example\"\n}\n";
     router_ = ::fork();
     if (router_ == 0) {
       ::setenv("LB_CONFIG", (folder_ / "config.json").c_str(), 1);
+      if (with_dns) ::setenv("WALKPADDLE_FILE", (folder_ / "walkpaddle.conf").c_str(), 1);
       ::unsetenv("LB_LISTEN");
       const auto* program = std::getenv("WALKPADDLE");
       ::execl(program, program, nullptr);
@@ -434,7 +504,7 @@
   }
 
   pid_t router_ = -1;
-  int port_ = 0, event_ = 1;
+  int port_ = 0, dns_port_ = 0, event_ = 1;
   std::filesystem::path folder_;
   std::map<std::string, Conn> clients_;
   std::map<std::string, Server> servers_;
