--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -565,6 +565,7 @@
     const auto group = static_cast<std::uint32_t>(l.num("group"));
     brain.txn_taken(txn, static_cast<int>(l.num("rule")), object, static_cast<int>(l.num("part")), group,
                     l.num("kb"), now + l.num("for", 5), l.num("repeat") > 0);
+    if (l.pairs.count("stands")) brain.stands_for(txn, l.num("flight", 1), l.num("stands"));
     about.resize(std::max(about.size(), static_cast<std::size_t>(txn) + 1));
     about[static_cast<std::size_t>(txn)] = {object, group};
   };
