--- a/src/control/file.cpp
+++ b/src/control/file.cpp
@@ -141,11 +141,7 @@
   cfg_set_validate_func(cfg, "store|megabytes", within<1, 65536>);
   cfg_set_validate_func(cfg, "log|form", form_known);
   cfg_set_validate_func(cfg, "dns|listen", address_reads);
-<<<<<<< HEAD
-  cfg_set_validate_func(cfg, "dns|use", within<1, 3600>);
-=======
   cfg_set_validate_func(cfg, "dns|use", within<1, 10>);
->>>>>>> dev
   cfg_set_validate_func(cfg, "dns|txns", within<1, 100000>);
   std::ifstream in(path);
   const std::string text{std::istreambuf_iterator<char>(in), {}};
