Purges: what waits to be erased from the store is bounded

Need: once the disk takes nothing, each purge that leaves the book stayed in a queue without a bound. Change: 65,536 at most; what is not erased is read and dropped again at the next start.

--- a/src/fleet/purges.cpp
+++ b/src/fleet/purges.cpp
@@ -154,7 +154,9 @@
   constexpr std::size_t kATurn = 256;
   cover_.trim(now);
   book_.trim(now, kATurn, [&](const Entry& e, bool) {
-    if (setup_.lasting && e.place <= stored_) to_erase_.push_back(e.stamp);
+    // While the disk takes nothing, what is not erased is dropped again after the next start.
+    constexpr std::size_t kMostToErase = 65536;
+    if (setup_.lasting && e.place <= stored_ && to_erase_.size() < kMostToErase) to_erase_.push_back(e.stamp);
   });
 }
 
