--- a/src/net/teller.cpp
+++ b/src/net/teller.cpp
@@ -46,7 +46,7 @@
   if (words.size() < 4) bad("answer to a purge", "");
   if (words[2] != run_) return;  // to an earlier run
   const auto place = parse<std::uint64_t>(words[3], "place");
-  if (words[1] == "cursor") return boxes.cursor(member, place, now);
+  if (words[1] == "cursor") return boxes.cursor(member, place);
   if (words[1] == "dropped") return boxes.confirmed(member, place, now);
   bad("answer to a purge", words[1]);
 }
--- a/src/purge/boxes.cpp
+++ b/src/purge/boxes.cpp
@@ -24,24 +24,18 @@
   if (b.state != State::telling) b.state = State::unknown;
 }
 
-void Boxes::restarted(int box) {
-  auto& b = at(box);
-  b.state = State::unknown;
-  b.confirmed = b.told = 0, b.retry_at = 0;
-}
-
-void Boxes::cursor(int box, std::uint64_t place, Sec now) {
+void Boxes::cursor(int box, std::uint64_t place) {
   auto& b = at(box);
   b.state = State::telling;
   b.confirmed = b.told = std::min(place, book_.places());
-  b.answered = now, b.retry_at = 0;
+  b.retry_at = 0;
 }
 
 void Boxes::confirmed(int box, std::uint64_t place, Sec now) {
   auto& b = at(box);
   if (b.state != State::telling || place > b.told) return;  // of an earlier connection
   b.confirmed = std::max(b.confirmed, place);
-  b.answered = now, b.retry_at = b.told > b.confirmed ? now + kRetry : 0;
+  b.retry_at = b.told > b.confirmed ? now + kRetry : 0;
 }
 
 std::optional<Boxes::Send> Boxes::next(Sec now) {
--- a/src/purge/boxes.h
+++ b/src/purge/boxes.h
@@ -18,7 +18,7 @@
     State state = State::unknown;
     bool listed = false;
     std::uint64_t confirmed = 0, told = 0;  // places
-    Sec retry_at = 0, answered = 0;
+    Sec retry_at = 0;
   };
   struct Send {
     int box = -1;
@@ -30,9 +30,8 @@
   void listed(int box, bool is);
   void may_tell(std::uint64_t place) { most_ = place; }  // what would be lost in a restart is not told
   void connection_lost(int box);                         // what was told and not confirmed is told again
-  void unsent(int box, Sec now);  // there is no connection yet: what was to be sent is sent later
-  void restarted(int box);        // a box that is known to have started anew
-  void cursor(int box, std::uint64_t place, Sec now);     // its answer, 0 if it holds none from this router
+  void unsent(int box, Sec now);              // there is no connection yet: what was to be sent is sent later
+  void cursor(int box, std::uint64_t place);  // its answer, 0 if it holds none from this router
   void confirmed(int box, std::uint64_t place, Sec now);  // in order: all up to there
   void refused(int box) { at(box).state = State::deaf; }  // it does not know the command
 
--- a/src/purge/tags.h
+++ b/src/purge/tags.h
@@ -34,7 +34,6 @@
   Known& at(std::uint64_t object, Sec now);  // a new one takes the place of the one longest unused
   // Adds to what is known: copies of some age may still have the tags that were told before.
   void learn(std::uint64_t object, std::span<const std::uint64_t> tags, Sec now);
-  void forget() { table_.clear(); }
 
  private:
   static constexpr std::size_t kWays = 4;
