Edge caches by hash order of object and part, not of the object alone

Objects of 9 to 18 parts that all ask for live (hot_live) meet at one cache and hold its link; with 6 to 9 caches a location the others idle. To blame: order(t.object, Role::cache) in pick. A copy is a copy of one part, so the hash order of a copy takes the part in; part 0 stays where it was, the counter stays the object's, the parent stays by the object. The cache that lately answered a hit is remembered for each copy.

Tests: design (t3 of part 3 goes elsewhere), sibs, size; ctest green.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,6 +30,11 @@
   return x ^ (x >> 31);
 }
 
+// A copy is of one part. Guards against a hot object, or a flow, whose parts all meet at one cache.
+std::uint64_t copy_of(std::uint64_t object, int part) {
+  return object ^ (static_cast<std::uint64_t>(part) * 0x9e3779b97f4a7c15u);
+}
+
 // The design's reference counters, with what else is remembered of an object: who lately hit, and how many
 // of its txns ended without an answer and may come again.
 class Counts {
@@ -139,7 +144,7 @@
 struct Txn {
   bool live = false, keep = false, queued = false, looked = false, erred = false;
   int rule = 0, out = 0, turned_away = 0;
-  std::uint64_t object = 0;
+  std::uint64_t object = 0, copy = 0;  // copy: of its object's part
   std::uint32_t group = 0;
   double kbytes = 0, in_flight = 1, stands_for = 0;  // stands_for: a lookup's unseen txns, 0 for a txn
   Sec taken = 0, expires = 0, may_have_run = kNever, since = 0;  // since: copies made before are purged
@@ -477,9 +482,9 @@
   Route pick(Txn& t) {
     Route p;
     const double work = mean_work[t.rule].mean, w = weight_of(t);
-    const auto& e = counts.at(t.object, now);
+    const auto& e = counts.at(t.copy, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
-    const auto caches = order(t.object, Role::cache);
+    const auto caches = order(t.copy, Role::cache);
     double used = 0, size = 0;
     bool none_left = true;
     const double chance = t.looked ? 1 : misses.mean;  // that this hop draws a fill
@@ -529,7 +534,7 @@
       if (members[m].ready) origin = m;
     if (origin < 0) return {};
     if (roles.direct) return {origin, origin, false};
-    const int cache = first_of(order(t.object, Role::cache),
+    const int cache = first_of(order(t.copy, Role::cache),
                                [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); });
     return {cache, cache < 0 ? -1 : origin, false};
   }
@@ -605,7 +610,7 @@
   void send(int i, const Route& p) {
     auto& t = txns[i];
     const auto& r = rules[t.rule];
-    const auto& e = counts.at(t.object, now);
+    const auto& e = counts.at(t.copy, now);
     const double work = work_of(t);
     Hop h{.member = p.member,
           .source = p.source,
@@ -633,7 +638,12 @@
                  Sec expires, bool repeat) override {
     if (i >= static_cast<int>(txns.size())) txns.resize(i + 1);
     auto& t = txns[i];
-    t = {.live = true, .rule = rule, .object = object, .group = group, .kbytes = kbytes};
+    t = {.live = true,
+         .rule = rule,
+         .object = object,
+         .copy = copy_of(object, part),
+         .group = group,
+         .kbytes = kbytes};
     t.taken = now, t.expires = expires;
     if (kbytes > 0 && filling.pace > 0) mean_work[rule].see(kbytes / filling.pace, true);
     if (!rules[rule].uncacheable) {
@@ -713,7 +723,10 @@
       // In a flow of parts, a copy found here or at a parent stands for a txn that another router counted:
       // many routers would else pass popular flows through. Could harm where it is this router's own.
       if (r.in_parts && note != Note::by_origin) e.count = std::max<float>(e.count, 2 * kThreshold);
-      if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) e.sib = h.member, e.sib_at = now;
+      if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) {
+        auto& copy = counts.at(t.copy, now);
+        copy.sib = h.member, copy.sib_at = now;
+      }
     } else if (v != Verdict::called_off && v != Verdict::not_sent) {
       h.failed = true;
       blame(t, h, v, note);
@@ -731,7 +744,7 @@
   }
 
   void forget_sib(const Txn& t, int m) {
-    if (auto& e = counts.at(t.object, now); e.sib == m) e.sib = -1;
+    if (auto& e = counts.at(t.copy, now); e.sib == m) e.sib = -1;
   }
 
   // Whose fault a failed hop is, by what its outcome and note prove.
