A look where answers tell nothing; parents asked for what they hold; lowest rank first

To blame: nothing counted what parents pass on. Now the origin's limit counts fills behind parents by the share they lately fetched; with no room there, the parent is asked only for what it holds. That limit may fall under one a router: it rests after each use. - A limit cut to its floor of one never grew again (used > cap / 2 after the hop had left). Now with the hop counted. - One of 6 to 20 routers of a location sees a tenth of a flow a second: nothing was kept. Where several routers serve a location, the first is kept at the lowest rank, which leaves first and pushes out nothing that was counted.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -70,15 +70,25 @@
 struct Limit {
   static constexpr double kTooMany = 0.15;  // late; sizes vary: a tenth looks late on a good day
   double cap = 16, used = 0, late = 0, least = 4;
+  bool full = false;     // was so by half when the last hop ended: more would have been used
   bool crowded = false;  // since it was cut or is cold: until then it may grow by one with each answer
-  Sec cut_at = -kNever;
+  Sec cut_at = -kNever, rests_until = 0;
   // Each of many routers starts with its part of a small machine's work: three hops at least, or objects
-  // move.
-  void share(int routers) {
+  // move. Cut, it comes down to its part of what one machine still does, under one hop where many share it.
+  void share(int routers, double floor = 1) {
     cap = std::clamp(32.0 / routers, 3.0, cap);
-    least = std::clamp(8.0 / routers, 1.0, least);
+    least = std::clamp(8.0 / routers, floor, least);
+  }
+  // Under one the limit is a share of the time: after each use it rests. Guards against floors of one each
+  // that sum to many times what a source can do, where hundreds of routers share it.
+  bool room(double weight, Sec now) const { return used <= 0 ? now >= rests_until : used + weight <= cap; }
+  void hold(double weight, int sign, Sec took, Sec now) {
+    used += sign * weight;
+    if (sign > 0) return;
+    constexpr Sec kMost = 4;  // about a client's patience
+    full = used + weight > cap / 2;
+    if (cap < 1) rests_until = now + std::min(kMost, (1 / cap - 1) * took);
   }
-  bool room(double weight) const { return used <= 0 || used + weight <= cap; }
   // Lost answers alone cut nothing: a hop without one speaks of a crowd only where answers come late too.
   void lost(Sec now) {
     if (late > kTooMany / 3) answered(1, now);
@@ -89,8 +99,8 @@
     late += (lateness - late) * kLately;
     if (late > kTooMany)
       cut(now);
-    else if (lateness <= 0 && used > cap / 2)
-      cap += quick && !crowded ? 1 : 1 / cap;
+    else if (lateness <= 0 && full)
+      cap += cap < 1 ? 0.1 : quick && !crowded ? 1 : 1 / cap;
   }
   void cut(Sec now) {
     constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
@@ -135,14 +145,14 @@
 };
 
 struct Hop {
-  int member = -1, source = -1;
+  int member = -1, source = -1, behind = -1;  // behind: the origin, where a parent's miss goes
   bool out = true, failed = false, source_failed = false, moving = false, fill = false, held_only = false;
   Sec sent = 0;
   double weight = 0, chance = 1;  // chance: that it draws a fill
 };
 
 struct Txn {
-  bool live = false, keep = false, queued = false, looked = false, erred = false;
+  bool live = false, keep = false, queued = false, looked = false, par_lacks = false, erred = false;
   int rule = 0, out = 0, turned_away = 0;
   std::uint64_t object = 0, copy = 0;  // copy: of its object's part
   std::uint32_t group = 0;
@@ -219,7 +229,8 @@
   std::vector<Quiet> mean_work;  // by rule: sending time, from told sizes or hits
   // By whether the size was known, by rule: mean, deviation of hop times past the sending that was known.
   std::vector<std::pair<double, double>> excess[2];
-  Quiet misses{.mean = 0.5};  // share of hops to a cache that draw a fill
+  Quiet misses{.mean = 0.5};      // share of hops to a cache that draw a fill
+  Quiet par_misses{.mean = 0.5};  // share of fills from a parent that it fetches from the origin
   double mean_txn = 0.4;
 
   Counts counts;
@@ -255,7 +266,7 @@
     x.seen = x.named = true;
     if (first) {
       const int routers = x.role == Role::cache ? place.seats : place.routers;
-      x.hops.share(routers), x.fills.share(routers);
+      x.hops.share(routers), x.fills.share(routers, x.role == Role::origin ? 0.05 : 1);
     }
     const bool told = started > x.started + 1e-3 && started > 0;
     // Back from being gone with no new start told: taken as fresh.
@@ -467,13 +478,18 @@
 
   int pick_source(const Txn& t) {
     const double w = weight_of(t), work = work_of(t);
-    const auto room = [&](int m) { return members[m].fills.room(w); };
+    const auto room = [&](int m) { return members[m].fills.room(w, now); };
     const int par = first_of(order(t.object, Role::par), [&](int m) {
       return room(m) && !failed_from(t, m) && cold_room(members[m], work);
     });
     return par >= 0 ? par : first_of(order(t.object, Role::origin), room);
   }
 
+  int origin() const {
+    const auto& all = listed[static_cast<int>(Role::origin)];
+    return all.empty() ? -1 : all.front();
+  }
+
   struct Route {
     int member = -1, source = -1;
     bool held_only = false;
@@ -498,29 +514,37 @@
       const auto& x = members[m];
       const double fair_part = std::max(kFew, kOver * (used + 1) * x.weight / std::max(size, 1e-9));
       // No answer will make a limit grow for lookups: one that was never cut does not hold them.
-      const bool room = x.hops.room(w) || (t.stands_for > 0 && !x.hops.crowded);
+      const bool room = x.hops.room(w, now) || (t.stands_for > 0 && !x.hops.crowded);
       return !failed_at(t, m) && room && x.hops.used + w <= fair_part && cold_room(x, work, t.stands_for);
     };
+    // Where answers tell nothing, a look does: a hit, or lacking and then a fill.
+    if (filling.notes == Notes::none && !t.looked)
+      if (const int m = first_of(caches, takes); m >= 0) return {m, m, false};
     // A lookup names no source: what its client's misses draw is the cache's own doing, and unseen.
     if (t.stands_for > 0)
       if (const int m = first_of(caches, takes); m >= 0) return {m, m, false};
     p.member = first_of(caches, [&](int m) {
-      return takes(m) &&
-             ((sib_known && e.sib == m) || (members[m].fills.room(w * chance) && link.room(w * chance)));
+      return takes(m) && ((sib_known && e.sib == m) ||
+                          (members[m].fills.room(w * chance, now) && link.room(w * chance, now)));
     });
     if (p.member >= 0) {
       if (!t.keep && filling.siblings != Siblings::none && sib_known && e.sib != p.member &&
           usable(members[e.sib]) && !failed_from(t, e.sib) && cold_room(members[e.sib], work))
         return {p.member, e.sib, true};
       p.source = pick_source(t);
-      if (p.source >= 0) return p;
+      // No room at the origin behind a parent: that is asked for what it holds, once. Guards against an
+      // origin that serves nobody in time while what parents hold waits behind it.
+      const int behind = origin();
+      p.held_only = p.source >= 0 && members[p.source].role == Role::par && behind >= 0 &&
+                    !members[behind].fills.room(w * par_misses.mean, now);
+      if (p.source >= 0 && !(p.held_only && t.par_lacks)) return p;
     }
     // No room for a fill: the cache that would hold the object is asked for what it holds, once. Guards
     // against hits that wait behind fills, whatever holds those up.
     if (!t.looked)
       if (const int m = first_of(caches, takes); m >= 0) return {m, m, false};
     // No cache of the location can take it: straight to a parent. Never because the caches are merely full.
-    if (!roles.direct || !none_left || !link.room(w)) return {};
+    if (!roles.direct || !none_left || !link.room(w, now)) return {};
     p.member = pick_source(t);
     p.source =
         first_of(order(t.object, Role::origin), [](int) { return true; });  // a parent alone fills nothing
@@ -621,13 +645,16 @@
     h.fill = p.source != p.member && !(e.sib == p.member && now - e.sib_at < 10);
     if (h.fill && x.role == Role::cache && !t.looked && !r.uncacheable) h.chance = misses.mean;
     t.looked = t.looked || (p.source == p.member && x.role == Role::cache);
+    if (h.fill && members[p.source].role == Role::par && !p.held_only) h.behind = origin();
     charge(t, h, 1);
     spend(x, (x.role == Role::cache ? mean_work[t.rule].mean : work) * std::max(1.0, t.stands_for));
     if (auto& s = members[p.source]; p.source != p.member)
       spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
-    d.rank = t.keep && x.role == Role::cache && !r.uncacheable ? kMiddleRank : 0;
-    d.join = filling.join && !r.uncacheable && t.hops.empty();  // a further hop must not wait for a lost fill
+    d.rank = x.role == Role::cache && !r.uncacheable ? (t.keep ? kMiddleRank : place.seats > 1 ? 1 : 0) : 0;
+    // After a failure, no hop waits for a fill that may be lost.
+    const auto ill = [](const Hop& o) { return o.failed || o.source_failed; };
+    d.join = filling.join && !r.uncacheable && std::ranges::none_of(t.hops, ill);
     d.held_only = p.held_only;
     if (!r.uncacheable) d.age = age_limit(t, old_will_do(t, p.source));
     t.hops.push_back(h);
@@ -661,16 +688,19 @@
   // A hop weighs on its member and, by its chance, on the link and its source: 1 at its start, -1 at its end.
   void charge(Txn& t, Hop& h, int sign) {
     t.out += sign, h.out = sign > 0;
-    const double weight = sign * h.weight, fill = weight * h.chance;
+    const Sec took = now - h.sent;
+    const double fill = h.weight * h.chance;
     const auto hold = [&](Member& m) {
       if (m.out == 0) m.busy_since = now;
       m.out += sign;
     };
     auto& x = members[h.member];
     hold(x);
-    x.hops.used += weight;
-    if (h.fill || x.role != Role::cache) x.fills.used += fill, link.used += fill;
-    if (h.fill) hold(members[h.source]), members[h.source].fills.used += fill;
+    x.hops.hold(h.weight, sign, took, now);
+    if (h.fill || x.role != Role::cache)
+      x.fills.hold(fill, sign, took, now), link.hold(fill, sign, took, now);
+    if (h.fill) hold(members[h.source]), members[h.source].fills.hold(fill, sign, took, now);
+    if (h.behind >= 0) members[h.behind].fills.hold(fill * par_misses.mean, sign, took, now);
   }
 
   void hop_ended(int i, int n, Verdict v, Note note, Sec took, Sec sending, bool over) override {
@@ -687,7 +717,8 @@
       mean_work[t.rule].see(sending, true);
     }
     const double work = sending > 0 ? sending : work_of(t);
-    const bool was_hit = note == Note::hit || note == Note::old_copy;
+    const bool was_hit =
+        note == Note::hit || note == Note::old_copy || (!other_source && x.role == Role::cache);
     if (v != Verdict::timed_out && v != Verdict::no_connection && v != Verdict::called_off &&
         v != Verdict::not_sent)
       heard_from(h.member);
@@ -711,6 +742,11 @@
         mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3, x.busy >= 0);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now, quick);
       if (!was_hit) link.answered(late, now, quick);
+      if (x.role == Role::origin) x.fills.answered(late, now, quick);
+      if (h.behind >= 0 && note != Note::filled && note != Note::joined && !was_hit)
+        members[h.behind].fills.answered(late, now, quick);
+      if (h.behind >= 0 && (note == Note::filled || note == Note::by_origin))
+        par_misses.see(note == Note::by_origin, true);
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
@@ -722,7 +758,8 @@
       auto& e = counts.at(t.object, now);
       // In a flow of parts, a copy found here or at a parent stands for a txn that another router counted:
       // many routers would else pass popular flows through. Could harm where it is this router's own.
-      if (r.in_parts && note != Note::by_origin) e.count = std::max<float>(e.count, 2 * kThreshold);
+      if (r.in_parts && note != Note::by_origin && (was_hit || note != Note::none))
+        e.count = std::max<float>(e.count, 2 * kThreshold);
       if (x.role == Role::cache && !r.uncacheable && (was_hit || t.keep)) {
         auto& copy = counts.at(t.copy, now);
         copy.sib = h.member, copy.sib_at = now;
@@ -751,6 +788,12 @@
   void blame(Txn& t, Hop& h, Verdict v, Note note) {
     auto& x = members[h.member];
     const bool other_source = h.source >= 0 && h.source != h.member;
+    // An origin that turns away, or what waits for it in vain, cuts this router's part of it.
+    const bool spent = v == Verdict::timed_out && now > t.expires - 0.02;
+    if (x.role == Role::origin && (spent || v == Verdict::not_taken)) x.fills.cut(now);
+    if (h.behind >= 0 &&
+        (note == Note::origin_failed || spent || (note == Note::none && v != Verdict::lacking)))
+      members[h.behind].fills.cut(now);
     if (note >= Note::source_refused) {
       h.source_failed = other_source && note != Note::no_fill_place;
       h.failed = !h.source_failed;  // else the cache is as good as before
@@ -760,8 +803,14 @@
       if (note == Note::no_fill_place) x.fills.cut(now);
       return;
     }
+    // The cache had just answered a look; where nothing is told, its fill's error is the source's.
+    if (v == Verdict::error && note == Note::none && t.looked && other_source) {
+      h.source_failed = true, h.failed = false;
+      return went_wrong(h.source, false);
+    }
     if (v == Verdict::lacking) {
-      h.source_failed = h.held_only;
+      if (h.held_only && members[h.source].role == Role::par) t.par_lacks = t.looked = true;
+      h.source_failed = h.held_only && members[h.source].role == Role::cache;
       h.failed = !h.held_only && other_source;  // not where it was only asked for what it holds
       if (h.held_only) forget_sib(t, h.source);
       return;
