--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -76,7 +76,7 @@
   // Each of many routers starts with its part of a small machine's work: three hops at least, or objects
   // move. Cut, it comes down to its part of what one machine still does, under one hop where many share it.
   void share(int routers, double floor = 1) {
-    cap = std::clamp(32.0 / routers, 3.0, cap);
+    cap = std::clamp(32.0 / routers, 1.5, cap);
     least = std::clamp(8.0 / routers, floor, least);
   }
   // Under one the limit is a share of the time: after each use it rests. Guards against floors of one each
@@ -651,7 +651,7 @@
     if (auto& s = members[p.source]; p.source != p.member)
       spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
-    d.rank = x.role == Role::cache && !r.uncacheable ? (t.keep ? kMiddleRank : place.seats > 1 ? 1 : 0) : 0;
+    d.rank = x.role == Role::cache && !r.uncacheable ? (t.keep ? kMiddleRank : place.seats > 1 && p.source != p.member ? 1 : 0) : 0;
     // After a failure, no hop waits for a fill that may be lost.
     const auto ill = [](const Hop& o) { return o.failed || o.source_failed; };
     d.join = filling.join && !r.uncacheable && std::ranges::none_of(t.hops, ill);
@@ -703,7 +703,7 @@
     if (h.behind >= 0) members[h.behind].fills.hold(fill * par_misses.mean, sign, took, now);
   }
 
-  void hop_ended(int i, int n, Verdict v, Note note, Sec took, Sec sending, bool over) override {
+  void hop_ended(int i, int n, Verdict v, Note note, Sec took, Sec waited, Sec sending, bool over) override {
     auto& t = txns[i];
     if (n < 0 || n >= static_cast<int>(t.hops.size()) || !t.hops[n].out) return;
     auto& h = t.hops[n];
@@ -741,17 +741,21 @@
       if (was_hit && t.kbytes <= 0 && sending <= 0)
         mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3, x.busy >= 0);
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now, quick);
-      if (!was_hit) link.answered(late, now, quick);
+      // Where the wait for the first byte is told, the origin's part of it is not the link's nor the
+      // parent's.
+      const bool fetched = note == Note::by_origin && waited > 0;
+      const double carried = late;
+      if (!was_hit) link.answered(carried, now, quick);
       if (x.role == Role::origin) x.fills.answered(late, now, quick);
       if (h.behind >= 0 && note != Note::filled && note != Note::joined && !was_hit)
-        members[h.behind].fills.answered(late, now, quick);
+        members[h.behind].fills.answered(fetched ? waited > r.sla_time : late, now, quick);
       if (h.behind >= 0 && (note == Note::filled || note == Note::by_origin))
         par_misses.see(note == Note::by_origin, true);
       if (other_source && !was_hit) {
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.answered(late, now, quick);
+        s.fills.answered(carried, now, quick);
         x.fills.answered(0, now, quick);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
--- a/src/brain.h
+++ b/src/brain.h
@@ -132,8 +132,9 @@
   virtual void stands_for(int txn, double in_flight, double txns) = 0;
   virtual void txn_left(int txn) = 0;
   virtual void load_told(int member, double busy) = 0;  // share of its capacity that it reports in use
-  // sending: the answer's own time at a client's pace, by its bytes; 0 where they are not seen
-  virtual void hop_ended(int txn, int hop, Verdict verdict, Note note, Sec took, Sec sending,
+  // waited: of the time it took, until the source's first byte or its failure; 0 where that is not told.
+  // sending: the answer's own time at a client's pace, by its bytes; 0 where they are not seen.
+  virtual void hop_ended(int txn, int hop, Verdict verdict, Note note, Sec took, Sec waited, Sec sending,
                          bool txn_over) = 0;
   // Copies made before are purged, for this txn's object: told with the txn and whenever it moves; 0 for
   // none.
--- a/src/dns/front.cpp
+++ b/src/dns/front.cpp
@@ -181,7 +181,7 @@
     // A client brings no age bound: a member that has not confirmed what covers the object is not named.
     const bool purged = seat.since() > 0 && desk_.purges().sync() != nullptr;
     if (!caches_.listed_ready(d->member) || (purged && !desk_.purges().confirmed(d->member, seat.since()))) {
-      seat.hop_ended(Verdict::lacking, Note::none, 0, 0, false);
+      seat.hop_ended(Verdict::lacking, Note::none, 0, 0, 0, false);
       continue;
     }
     const auto& at = caches_.address(d->member);
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -23,6 +23,7 @@
 struct HopEnd {
   Verdict verdict = Verdict::not_sent;
   Note note = Note::none;
+  Sec waited = 0;  // until its source's first byte or failure, 0 where it is not told
   bool still_good = false;
   std::string etag, body;
   Sec age = -1;                     // of the copy, -1 where it is not told
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -26,15 +26,15 @@
 }
 
 Seat::~Seat() {
-  if (out_) hop_ended(Verdict::not_sent, Note::none, 0, 0, true);
+  if (out_) hop_ended(Verdict::not_sent, Note::none, 0, 0, 0, true);
   desk_.seats_[slot_] = nullptr;
   desk_.free_.push_back(slot_);
 }
 
-void Seat::hop_ended(Verdict verdict, Note note, Sec took, Sec sending, bool txn_over) {
+void Seat::hop_ended(Verdict verdict, Note note, Sec took, Sec waited, Sec sending, bool txn_over) {
   hop_ = nullptr;
   out_ = false;
-  desk_.input().hop_ended(slot_, hops_ - 1, verdict, note, took, sending, txn_over);
+  desk_.input().hop_ended(slot_, hops_ - 1, verdict, note, took, waited, sending, txn_over);
 }
 
 void Seat::stands_for(double in_flight, double txns) { desk_.input().stands_for(slot_, in_flight, txns); }
--- a/src/net/desk.h
+++ b/src/net/desk.h
@@ -28,7 +28,7 @@
   Event::Awaiter woken() { return event_.wait(); }
   std::optional<Decision> decision() { return std::exchange(decision_, std::nullopt); }
   void hop_out(Hop* hop) { hop_ = hop; }
-  void hop_ended(Verdict verdict, Note note, Sec took, Sec sending, bool txn_over);
+  void hop_ended(Verdict verdict, Note note, Sec took, Sec waited, Sec sending, bool txn_over);
   void stands_for(double in_flight, double txns);  // it is a lookup; at once after the making
   void leave();                                    // the client waits no more
   bool left() const { return left_; }
--- a/src/text.h
+++ b/src/text.h
@@ -35,6 +35,14 @@
   return value;
 }
 
+// For what only informs: nonsense reads as absent.
+template <class T>
+T parse_or(std::string_view text, T absent) try {
+  return parse<T>(text, "");
+} catch (const Malformed&) {
+  return absent;
+}
+
 inline std::string_view cut(std::string_view& rest, char mark) {
   const auto at = rest.find(mark);
   const auto head = rest.substr(0, at);
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -245,7 +245,7 @@
   const auto id = static_cast<std::uint32_t>(f.integer("msg_id"));
   const bool over = f.flag("ended");
   const auto server = f.text("server");
-  f.number_or(0, "fill_wait");
+  const Sec waited = f.ms_or(0, "fill_wait");
   const auto verdict = verdict_of(f.integer("verdict"));
   const auto note = f.integer_or(0, "note");
   const int hop = static_cast<int>(f.integer_or(0, "n"));
@@ -261,7 +261,7 @@
   if (t.out > 0) --t.out;
   t.over = t.over || over;
   in.brain->hop_ended(txn, hop, verdict, note < 0 || note > 10 ? Note::none : static_cast<Note>(note), took,
-                      0, over);
+                      waited, 0, over);
   close_if_done(in, txn);
 }
 
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -631,7 +631,7 @@
     } else if (what == "ended") {
       const auto verdict = static_cast<Verdict>(l.pick("as", kVerdicts));
       brain.hop_ended(index_of(txns, l.words[1]), static_cast<int>(l.num("hop")), verdict,
-                      static_cast<Note>(l.pick("note", kNotes)), l.num("took", 0.1), l.num("sending"),
+                      static_cast<Note>(l.pick("note", kNotes)), l.num("took", 0.1), l.num("waited"), l.num("sending"),
                       l.num("over", verdict == Verdict::completed) > 0);
     } else if (what == "busy") {
       brain.load_told(index_of(members, l.words[1]), l.num("load"));
