--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -85,7 +85,7 @@
   void hold(double weight, int sign, Sec took, Sec now) {
     used += sign * weight;
     if (sign > 0) return;
-    constexpr Sec kMost = 4;  // about a client's patience
+    constexpr Sec kMost = 20;  // some clients' patience
     full = used + weight > cap / 2;
     if (cap < 1) rests_until = now + std::min(kMost, (1 / cap - 1) * took);
   }
@@ -102,11 +102,11 @@
     else if (lateness <= 0 && full)
       cap += cap < 1 ? 0.1 : quick && !crowded ? 1 : 1 / cap;
   }
-  void cut(Sec now) {
+  void cut(Sec now, double share = 0.8) {
     constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
     crowded = true;
     if (now - cut_at < kPause) return;
-    cut_at = now, cap = std::max(least, cap * 0.8);
+    cut_at = now, cap = std::max(least, cap * share);
   }
 };
 
@@ -152,7 +152,8 @@
 };
 
 struct Txn {
-  bool live = false, keep = false, queued = false, looked = false, par_lacks = false, erred = false;
+  bool live = false, keep = false, queued = false, looked = false, par_lacks = false, erred = false,
+       sized = false;  // sized: by the client
   int rule = 0, out = 0, turned_away = 0;
   std::uint64_t object = 0, copy = 0;  // copy: of its object's part
   std::uint32_t group = 0;
@@ -266,7 +267,7 @@
     x.seen = x.named = true;
     if (first) {
       const int routers = x.role == Role::cache ? place.seats : place.routers;
-      x.hops.share(routers), x.fills.share(routers, x.role == Role::origin ? 0.05 : 1);
+      x.hops.share(routers), x.fills.share(routers, x.role == Role::cache ? 1 : 0.05);
     }
     const bool told = started > x.started + 1e-3 && started > 0;
     // Back from being gone with no new start told: taken as fresh.
@@ -622,7 +623,7 @@
     const Route p = r.uncacheable ? pass(t) : pick(t);
     if (p.member < 0 || !repeat_dropped_at(t, p.member)) {
       const Sec spare = r.sla_time + r.sla_stretch * work_of(t) - expected(t);  // later it would end too late
-      const Sec last = std::min(t.taken + std::clamp(spare, 0.05, r.sla_time), t.expires - 2 * kLast);
+      const Sec last = std::min(t.taken + std::clamp(spare / 2, 0.05, r.sla_time), t.expires - 2 * kLast);
       if (now >= last) return give_up(i);
       waiting.push_back(i);
       due.insert({last, i});
@@ -651,7 +652,10 @@
     if (auto& s = members[p.source]; p.source != p.member)
       spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
-    d.rank = x.role == Role::cache && !r.uncacheable ? (t.keep ? kMiddleRank : place.seats > 1 && p.source != p.member ? 1 : 0) : 0;
+    d.rank = x.role == Role::cache && !r.uncacheable ? (t.keep ? kMiddleRank
+                                                        : place.seats > 1 && p.source != p.member ? 1
+                                                                                                  : 0)
+                                                     : 0;
     // After a failure, no hop waits for a fill that may be lost.
     const auto ill = [](const Hop& o) { return o.failed || o.source_failed; };
     d.join = filling.join && !r.uncacheable && std::ranges::none_of(t.hops, ill);
@@ -672,6 +676,7 @@
          .group = group,
          .kbytes = kbytes};
     t.taken = now, t.expires = expires;
+    t.sized = kbytes > 0;
     if (kbytes > 0 && filling.pace > 0) mean_work[rule].see(kbytes / filling.pace, true);
     if (!rules[rule].uncacheable) {
       auto& e = counts.at(object, now);
@@ -738,8 +743,17 @@
       const double late = took > r.sla_time + std::min(most, r.sla_stretch * work) ? sure : 0;
       const bool quick = sending > 0 && took - 1.2 * sending < r.sla_time / 4;
       if (x.role == Role::cache && other_source) misses.see(was_hit ? 0 : 1, true);
-      if (was_hit && t.kbytes <= 0 && sending <= 0)
+      if (was_hit && !t.sized && sending <= 0)
         mean_work[t.rule].see(took, x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3, x.busy >= 0);
+      // With no sizes told, what a quiet cache took past the wait for its source stands for the size, for the
+      // parts to come: else one of ten big objects looks late on a quiet link, and limits stay at their
+      // floors.
+      if (!t.sized && sending <= 0 && !r.uncacheable && (x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3) &&
+          (was_hit || (waited > 0 && link.late < Limit::kTooMany / 2))) {
+        auto& known = counts.at(t.object, now).kbytes;
+        const float kb = (took - waited) * filling.pace;
+        known = known > 0 ? std::min(known, kb) : kb;
+      }
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now, quick);
       // Where the wait for the first byte is told, the origin's part of it is not the link's nor the
       // parent's.
@@ -828,10 +842,16 @@
     }
     if (v == Verdict::timed_out && now > t.expires - 0.02) {
       (h.fill || x.role != Role::cache ? link : x.hops).lost(now);
-      if (h.fill) members[h.source].fills.lost(now);
+      if (h.fill) members[h.source].fills.cut(now, 0.5);
       return;
     }
-    x.unreached = x.unreached || v == Verdict::no_connection;
+    // Nobody there: it may start again at any moment, sooner than the list can tell, and is cold from then
+    // on. Guards against the trials of all routers at once, which pushed over what had just started.
+    if (v == Verdict::no_connection) {
+      x.unreached = true;
+      if (!is_cold(x)) begin_afresh(x, now);
+      x.started = now;
+    }
     // A second member that fails the same txn speaks of the txn: ids that no member knows make none look ill.
     if (v == Verdict::error && std::exchange(t.erred, true)) return;
     // One broken connection proves little: a reset or a spoilt answer, where a death breaks many at once.
