--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -84,6 +84,7 @@
     flatten(j.at("settings"), "", c.settings);
     if (c.settings.whole("categories.count") <= 0)
       throw Malformed("configuration: settings without categories");
+    check(c.settings);
     c.known = j.at("known").dump();
     return c;
   });
--- a/src/net/desk.cpp
+++ b/src/net/desk.cpp
@@ -51,6 +51,7 @@
       purges_(purges),
       brain_(make_brain(seed)),
       between_pulls_(settings.ms("tick")),
+      answers_tell_load_(settings.text("report.source") == "answers"),
       wake_(scheduler),
       pull_(scheduler) {
   hand_over(settings, input());
@@ -64,6 +65,10 @@
   return *brain_;
 }
 
+void Desk::load_told(int member, double busy) {
+  if (answers_tell_load_ && busy >= 0) input().load_told(member, busy);
+}
+
 Task Desk::keep_time() {
   for (;;) {
     const bool asked_anew = co_await wake_.wait(wake_at_);
--- a/src/net/desk.h
+++ b/src/net/desk.h
@@ -54,7 +54,8 @@
  public:
   Desk(Scheduler& scheduler, std::uint32_t seed, const Settings& settings, fleet::Purges& purges);
 
-  Brain& input();  // the module, with the clock set
+  Brain& input();                           // the module, with the clock set
+  void load_told(int member, double busy);  // with an answer; only where the settings say that answers tell
   fleet::Purges& purges() { return purges_; }
   std::size_t txns_open() const { return seats_.size() - free_.size(); }
 
@@ -72,6 +73,7 @@
   std::vector<Seat*> seats_;
   std::vector<int> free_;
   const Sec between_pulls_;
+  const bool answers_tell_load_;
   Event wake_, pull_;
   Sec pulled_at_ = 0;
   bool pull_due_ = false;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -61,8 +61,103 @@
   return r;
 }
 
+std::string range_text(double least, double most) {
+  const auto plain = [](double v) {
+    auto text = std::to_string(v);
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.back() == '.') text.pop_back();
+    return text;
+  };
+  return plain(least) + " to " + plain(most);
+}
+
+[[noreturn]] void refuse(const std::string& key, std::string_view got, const std::string& expected) {
+  throw Malformed("configuration: settings." + key + " is '" + std::string(got.substr(0, 40)) +
+                  "', expected " + expected);
+}
+
+void number_within(const Settings& s, const std::string& key, double least, double most) {
+  const auto text = s.text(key);
+  const double value = text.empty() ? least : parse_or(text, most + 1);
+  if (value < least || value > most) refuse(key, text, range_text(least, most));
+}
+
+void one_of(const Settings& s, const std::string& key, std::initializer_list<std::string_view> words) {
+  const auto text = s.text(key);
+  if (text.empty() || std::ranges::find(words, text) != words.end()) return;
+  std::string known;
+  for (const auto w : words) known.append(known.empty() ? "" : " or ").append(w);
+  refuse(key, text, known);
+}
+
 }  // namespace
 
+void check(const Settings& s) {
+  // Times in milliseconds; a day is longer than any of them can mean. Sizes: what an index or a count can
+  // hold.
+  constexpr double kDay = 86'400'000, kMany = 1'000'000;
+  const struct {
+    const char* key;
+    double least, most;
+  } numbers[] = {{"fleet_size", 1, kMany},
+                 {"locality", 0, kMany},
+                 {"tick", 0, 1000},
+                 {"specifics.second_tier_kind", -1, kMany},
+                 {"specifics.origin_kind", -1, kMany},
+                 {"specifics.client_kb_per_s", 0, 1e9},
+                 {"specifics.upper_cold_from", 0, 1},
+                 {"specifics.upper_fall_multiple", 0, kMany},
+                 {"specifics.parent_warms_in", 0, kDay},
+                 {"specifics.purge_settles", 0, kDay},
+                 {"rules.cold_from", 0, 1},
+                 {"rules.fall_multiple", 0, kMany},
+                 {"rules.warm_after", 0, kDay},
+                 {"rules.overload_for", 0, kDay},
+                 {"allowed.max_attempts", 1, kMany},
+                 {"allowed.max_retry_after", 0, kDay},
+                 {"allowed.streams_per_conn", 1, kMany},
+                 {"allowed.dial_timeout", 0, kDay},
+                 {"allowed.idle_close", 0, kDay}};
+  for (const auto& n : numbers) number_within(s, n.key, n.least, n.most);
+  for (const auto* key : {"specifics.direct", "specifics.merges_fills", "allowed.cancel",
+                          "allowed.retry_after", "client_habits.marks_retry"})
+    one_of(s, key, {"true", "false", "1", "0"});
+  one_of(s, "specifics.peers_fill", {"none", "location", "any"});
+  one_of(s, "specifics.notes_given", {"none", "hit", "all"});
+  one_of(s, "weights", {"none", "nominal", "rough", "live"});
+  one_of(s, "registry_mode", {"push", "ask"});
+  one_of(s, "report.source", {"none", "answers", "probe"});
+
+  const int rules = s.whole("categories.count");
+  for (int n = 0; n < rules; ++n) {
+    const auto at = "categories." + std::to_string(n) + ".";
+    one_of(s, at + "effect", {"free", "guarded", "single_shot"});
+    one_of(s, at + "group", {"all", "zone", "cell"});
+    for (const auto* key : {"window", "aim", "deadline"}) number_within(s, at + key, 0, kDay);
+    for (const auto* key : {"aim_stretch", "gain"}) number_within(s, at + key, 0, kMany);
+    number_within(s, at + "late_worth", 0, 1);
+    if (s.text(at + "effect") == "guarded" && !s.text(at + "window").empty() && s.ms(at + "window") <= 0)
+      refuse(at + "window", s.text(at + "window"), "more than 0 for a guarded class");
+  }
+  // Lists by class and by zone.
+  for (const std::string key : {"class_fresh", "class_grace", "stale_earns", "in_parts", "pass_on"}) {
+    const auto path = "specifics." + key, all = std::string(s.text(path));
+    if (!all.empty() && std::ranges::count(all, ',') + 1 != rules)
+      refuse(path, all, "one value for each of the " + std::to_string(rules) + " classes");
+  }
+  const auto seats = s.item("specifics.seats_by_zone", static_cast<std::size_t>(s.whole("locality")));
+  if (!seats.empty()) {
+    const double here = parse_or(seats, -1.0), all = s.number("fleet_size", here);
+    if (here < 0 || here > all) refuse("specifics.seats_by_zone", seats, "0 to fleet_size here");
+  }
+  const int upper = s.whole("specifics.second_tier_kind", -1);
+  if (upper >= 0 && upper == s.whole("specifics.origin_kind", -1))
+    refuse("specifics.second_tier_kind", s.text("specifics.second_tier_kind"),
+           "another kind than origin_kind");
+  if (s.text("report.source") == "answers" && s.text("report.names").empty())
+    refuse("report.names", "", "the names of the values, as report.source is 'answers'");
+}
+
 void hand_over(const Settings& s, Brain& b) {
   const int here = s.whole("locality");
   b.set_place({here, std::max(1, static_cast<int>(s.item_number("specifics.seats_by_zone", here))),
--- a/src/settings.h
+++ b/src/settings.h
@@ -35,6 +35,10 @@
   std::unordered_map<std::string, std::string> values_;
 };
 
+// Refuses what the module could not use: a value of the wrong kind or out of range, words it does not know,
+// and settings that contradict each other. Malformed names the key. What is absent keeps its default.
+void check(const Settings& settings);
+
 // Hands the module its settings, each part its own few.
 void hand_over(const Settings& settings, Brain& brain);
 
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -168,7 +168,7 @@
     std::printf(" %s on %s, first class %s\n", c.name.c_str(), text_of(c.listen).c_str(),
                 net::rule_names(c.settings).front().name.c_str());
   } catch (const Malformed& e) {
-    std::printf(" malformed: %s\n", std::string(e.what()).substr(0, 70).c_str());
+    std::printf(" malformed: %s\n", std::string(e.what()).substr(0, 140).c_str());
   }
 }
 
