--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -134,11 +134,12 @@
 // and against means that follow a queue: one of many routers may see ten answers a second, few in quiet.
 struct Quiet {
   double mean = 0, calm = 0;
-  int seen = 0, in_quiet = 0;
+  int seen = 0, in_quiet = 0, unproved = 0;  // unproved: answers to come before a carried mean counts fully
   // Quiet that is guessed by what is in flight here takes ten, which halve the doubt of three; quiet that the
   // member tells takes two, enough that one small object does not stand for all.
   void see(double value, bool quiet, bool told = true) {
     constexpr int kOver = 50;  // seconds of answers
+    unproved = std::max(0, unproved - 1);
     if (quiet) calm += (value - calm) / std::min(++in_quiet, kOver);
     mean = in_quiet >= (told ? 2 : 10) ? calm : mean + (value - mean) / std::min(++seen, kOver);
   }
@@ -208,6 +209,26 @@
   }
   void copies_since(int i, Sec made) override { txns[i].since = made; }
   void copies_within(Sec age) override { oldest = age; }
+  Learnt learnt() const override {
+    Learnt l;
+    for (const auto& q : mean_work) l.rules.push_back({q.mean, q.seen});
+    for (std::size_t m = 0; m < members.size(); ++m)
+      if (members[m].unreached && members[m].listed)
+        l.unreached.push_back({static_cast<int>(m), members[m].started});
+    return l;
+  }
+  // A carried mean stands for what is yet to be seen; against cold budgets it counts only once it is proved.
+  void set_learnt(const Learnt& l) override {
+    constexpr int kMost = 10;  // as many answers of the last start as a guessed quiet takes
+    for (std::size_t r = 0; r < std::min(rules.size(), l.rules.size()); ++r)
+      if (const auto& [sending, answers] = l.rules[r]; answers > 0 && sending > 0) {
+        const int seen = std::min(answers, kMost);
+        mean_work[r] = {.mean = sending, .calm = sending, .seen = seen, .in_quiet = seen, .unproved = kMost};
+      }
+    for (const auto& [m, at] : l.unreached)
+      if (auto& x = member(m); x.listed && x.started < at && at <= now)
+        begin_afresh(x, at), x.unreached = true;
+  }
   void woken() override {
     if (now >= woken_for - 1e-6) woken_for = kNever;
   }
@@ -465,6 +486,11 @@
   double work_of(const Txn& t) const {
     return t.kbytes > 0 && filling.pace > 0 ? t.kbytes / filling.pace : mean_work[t.rule].mean;
   }
+  // What a hop counts on a cold cache: its rule's mean, no less than the SLA time until that is proved.
+  double cold_work(int rule) const {
+    const auto& q = mean_work[rule];
+    return q.unproved > 0 ? std::max(q.mean, rules[rule].sla_time) : q.mean;
+  }
   // What a hop weighs against limits and bounds: its work in mean txns; a video counts for many pages.
   double weight_of(const Txn& t) const {
     return t.stands_for > 0 ? t.in_flight : std::clamp(work_of(t) / mean_txn, 0.1, 5.0);
@@ -498,7 +524,7 @@
 
   Route pick(Txn& t) {
     Route p;
-    const double work = mean_work[t.rule].mean, w = weight_of(t);
+    const double work = cold_work(t.rule), w = weight_of(t);
     const auto& e = counts.at(t.copy, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
     const auto caches = order(t.copy, Role::cache);
@@ -648,9 +674,9 @@
     t.looked = t.looked || (p.source == p.member && x.role == Role::cache);
     if (h.fill && members[p.source].role == Role::par && !p.held_only) h.behind = origin();
     charge(t, h, 1);
-    spend(x, (x.role == Role::cache ? mean_work[t.rule].mean : work) * std::max(1.0, t.stands_for));
+    spend(x, (x.role == Role::cache ? cold_work(t.rule) : work) * std::max(1.0, t.stands_for));
     if (auto& s = members[p.source]; p.source != p.member)
-      spend(s, s.role == Role::cache ? mean_work[t.rule].mean : work);
+      spend(s, s.role == Role::cache ? cold_work(t.rule) : work);
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
     d.rank = x.role == Role::cache && !r.uncacheable ? (t.keep ? kMiddleRank
                                                         : place.seats > 1 && p.source != p.member ? 1
--- a/src/brain.h
+++ b/src/brain.h
@@ -89,6 +89,20 @@
   Sec longest_pause = 0;  // 0: none is told
 };
 
+// What one start of a router may leave to the next. Nothing of it loosens a rule.
+struct Learnt {
+  struct Rule {
+    double sending = 0;  // mean own sending time of its answers
+    int answers = 0;     // of so many
+  };
+  struct Unreached {
+    int member = -1;
+    Sec at = 0;  // last not reached then, and no answer since
+  };
+  std::vector<Rule> rules;
+  std::vector<Unreached> unreached;
+};
+
 struct Decision {
   enum class Kind { deliver, reject, abort, call_off, wake, subscribe };
   Kind kind = Kind::wake;
@@ -118,6 +132,9 @@
   virtual void set_clients(const Clients&) = 0;
   virtual void set_list(bool must_ask) = 0;
 
+  virtual Learnt learnt() const = 0;
+  virtual void set_learnt(const Learnt&) = 0;  // after the settings and the first list
+
   // Inputs.
   virtual void clock(Sec now) = 0;
   virtual void list_begin(bool whole) = 0;
@@ -127,8 +144,9 @@
   virtual void list_failed() = 0;
   virtual void txn_taken(int txn, int rule, std::uint64_t object, int part, std::uint32_t group,
                          double kbytes, Sec expires, bool repeat) = 0;
-  // After txn_taken: the txn is a lookup, which the host answers with the member. Its hop stays out for as long as
-  // what follows unseen may last, and then ends as not_sent. It stands for so many txns, in flight at a time.
+  // After txn_taken: the txn is a lookup, which the host answers with the member. Its hop stays out for as
+  // long as what follows unseen may last, and then ends as not_sent. It stands for so many txns, in flight at
+  // a time.
   virtual void stands_for(int txn, double in_flight, double txns) = 0;
   virtual void txn_left(int txn) = 0;
   virtual void load_told(int member, double busy) = 0;  // share of its capacity that it reports in use
--- a/src/control/file.cpp
+++ b/src/control/file.cpp
@@ -117,12 +117,14 @@
                      CFG_INT("use", 1, CFGF_NONE),
                      CFG_FLOAT("txns", 1, CFGF_NONE),
                      CFG_END()};
+  cfg_opt_t learnt[] = {CFG_STR("file", nullptr, CFGF_NODEFAULT), CFG_END()};
   cfg_opt_t log[] = {CFG_STR("form", "text", CFGF_NONE), CFG_END()};
   cfg_opt_t all[] = {CFG_SEC("fleet", fleet, CFGF_MULTI),
                      CFG_SEC("store", store, CFGF_MULTI),
                      CFG_SEC("control", control, CFGF_MULTI),
                      CFG_SEC("boxes", boxes, CFGF_MULTI),
                      CFG_SEC("log", log, CFGF_MULTI),
+                     CFG_SEC("learnt", learnt, CFGF_MULTI),
                      CFG_SEC("dns", dns, CFGF_MULTI),
                      CFG_INT(kEnd, 0, CFGF_NONE),
                      CFG_END()};
@@ -130,7 +132,7 @@
   cfg_t* cfg = owned.get();
   first_error.clear();
   cfg_set_error_function(cfg, keep_error);
-  for (const char* section : {"fleet", "store", "control", "boxes", "log", "dns"})
+  for (const char* section : {"fleet", "store", "control", "boxes", "log", "learnt", "dns"})
     cfg_set_validate_func(cfg, section, one_alone);
   cfg_set_validate_func(cfg, "fleet|listen", address_reads);
   cfg_set_validate_func(cfg, "fleet|peer|address", address_reads);
@@ -210,6 +212,11 @@
       if (!is_domain(name))
         refuse(path, s, "'" + name + "', expected a domain name in lower case without the last dot");
   }
+  if (cfg_size(cfg, "learnt") > 0) {
+    auto* s = cfg_getnsec(cfg, "learnt", 0);
+    f.learnt = text_of(s, "file");
+    if (f.learnt.empty()) refuse(path, s, "learnt without file");
+  }
   if (cfg_size(cfg, "log") > 0) f.log_json = text_of(cfg_getnsec(cfg, "log", 0), "form") == "json";
   return f;
 }
--- a/src/control/file.h
+++ b/src/control/file.h
@@ -29,6 +29,7 @@
   } dns;
   std::string store_folder;  // empty: all in memory
   int store_megabytes = 256;
+  std::string learnt;  // file that a planned end leaves to the next start; empty: none
   std::string socket;  // of the operators; empty: none
   bool tell_boxes = false;
   bool log_json = false;
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -84,6 +84,7 @@
 
   int member(std::string_view id);  // its index, given at first sight
   std::string_view id(int member) const;
+  int members() const { return static_cast<int>(peers_.size()); }
   int known(std::string_view id) const;  // -1 for none
   const Address& address(int member) const;
   bool listed_ready(int member) const;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -6,8 +6,11 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdio>
+#include <fstream>
 #include <system_error>
 
+#include "learning/learnt.h"
 #include "net/txn.h"
 
 namespace walkpaddle::net {
@@ -148,9 +151,64 @@
   }
 }
 
+// Whatever is wrong with the file costs one line, and the start goes on with nothing learnt.
+void Router::take_over() {
+  if (file_.learnt.empty()) return;
+  const Sec now = scheduler_.now();
+  try {
+    std::ifstream in(file_.learnt, std::ios::binary);
+    if (!in) return log_("learnt", "no {} yet, all is learnt afresh", file_.learnt);
+    std::string text(learning::kMostBytes + 1, '\0');
+    in.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(in.gcount()));
+    const auto kept = learning::kept_of(text, config_.settings.text("family"),
+                                        config_.settings.number("specifics.client_kb_per_s"), now);
+    Learnt learnt;
+    int rules = 0, members = 0;
+    for (const auto& own : rule_names(config_.settings)) {
+      const auto at = std::ranges::find(kept.rules, own.name, &learning::Kept::Rule::name);
+      learnt.rules.push_back(at == kept.rules.end() ? Learnt::Rule{}
+                                                    : Learnt::Rule{at->sending, at->answers});
+      rules += learnt.rules.back().answers > 0;
+    }
+    // Only members that the list names; one that started since is as the list tells.
+    for (const auto& u : kept.unreached)
+      for (int m = 0; m < caches_.members(); ++m)
+        if (caches_.id(m) == u.member) learnt.unreached.push_back({m, u.at}), ++members;
+    desk_.input().set_learnt(learnt);
+    log_("learnt", "from {}, {:.0f} s old: {} sending times, {} members last not reached", file_.learnt,
+         now - kept.written, rules, members);
+  } catch (const std::exception& e) {
+    log_("learnt", "{} refused: {}; all is learnt afresh", file_.learnt, e.what());
+  }
+}
+
+void Router::leave_learnt() {
+  if (file_.learnt.empty()) return;
+  const auto learnt = desk_.input().learnt();
+  learning::Kept kept{.family = std::string(config_.settings.text("family")),
+                      .pace = config_.settings.number("specifics.client_kb_per_s"),
+                      .written = scheduler_.now()};
+  const auto names = rule_names(config_.settings);
+  for (std::size_t n = 0; n < std::min(names.size(), learnt.rules.size()); ++n)
+    if (learnt.rules[n].answers > 0)
+      kept.rules.push_back({names[n].name, learnt.rules[n].sending, learnt.rules[n].answers});
+  for (const auto& u : learnt.unreached) kept.unreached.push_back({std::string(caches_.id(u.member)), u.at});
+  // Whole or not at all: a start that reads meanwhile finds the last one.
+  const auto beside = file_.learnt + ".new";
+  std::ofstream out(beside, std::ios::binary | std::ios::trunc);
+  out << learning::text_of(kept) << std::flush;
+  out.close();
+  if (!out || std::rename(beside.c_str(), file_.learnt.c_str()) != 0)
+    return log_("learnt", "{} not written: {}", file_.learnt, std::system_category().message(errno));
+  log_("learnt", "left in {}: {} sending times, {} members last not reached", file_.learnt, kept.rules.size(),
+       kept.unreached.size());
+}
+
 Task Router::live() {
   enter(Phase::starting);
   list_.held(hand_known(config_.known, config_.settings, list_));
+  take_over();
   if (config_.has_bus) list_.follow(config_.bus);
 
   enter(Phase::serving);
@@ -173,6 +231,7 @@
     co_await look.wait(scheduler_.now() + kLook);
 
   enter(Phase::stopped);
+  leave_learnt();
   clients_.stop_accepting();
   clients_.abort_open();
   co_await look.wait(scheduler_.now() + kLook);
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -61,6 +61,8 @@
 
   void enter(Phase phase);
   void reload();
+  void take_over();     // what the last start learnt, where a file is named
+  void leave_learnt();  // for the next
   Task live();
   fleet::Purges::Setup purges_setup();
   void pull_fleet();
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -215,6 +215,8 @@
     if (what == "kill") return ::kill(router_, SIGKILL), true;
     if (what == "reload") return reload(text.substr(6)), true;
     if (what == "exit") return exited(), true;
+    if (what == "again") return spawn(), true;
+    if (what == "learnt") return learnt(w.size() > 1 ? w[1] : ""), true;
     return false;
   }
 
@@ -454,10 +456,12 @@
     return member_text(server_id(name), s.port, where, kind);
   }
 
-  // router [dns] CACHE ...: with an operator's file that switches lookups on
+  // router [dns|learnt] CACHE ...: with an operator's file that switches lookups, or what is learnt, on
   void start(std::string caches) {
     const bool with_dns = caches.find("dns") != std::string::npos;
     if (with_dns) caches.erase(0, caches.find("dns") + 3);
+    const bool with_learnt = caches.find("learnt") != std::string::npos;
+    if (with_learnt) caches.erase(0, caches.find("learnt") + 6);
     std::string list, names = caches.empty() ? "c1" : caches;
     std::istringstream in(names);
     for (std::string name; in >> name;) list += listed(name, "edge", "cache") + ",";
@@ -470,13 +474,24 @@
     std::filesystem::create_directory(folder_);
     std::ofstream(folder_ / "config.json") << config_;
     { const auto free = listen_at(dns_port_); }
-    std::ofstream(folder_ / "walkpaddle.conf")
-        << "dns {\n listen = \"127.0.0.1:" << dns_port_
-        << "\"\n zone = \"z.example\"\n server = \"ns.z.example\"\n}\n";
+    if (with_dns)
+      std::ofstream(folder_ / "walkpaddle.conf")
+          << "dns {\n listen = \"127.0.0.1:" << dns_port_
+          << "\"\n zone = \"z.example\"\n server = \"ns.z.example\"\n}\n";
+    if (with_learnt)
+      std::ofstream(folder_ / "walkpaddle.conf")
+          << "learnt { file = \"" << (folder_ / "learnt.json").string() << "\" }\n";
+    with_file_ = with_dns || with_learnt, log_kept_ = with_learnt;
+    spawn();
+  }
+
+  void spawn() {
+    std::filesystem::remove(folder_ / "log");
     router_ = ::fork();
     if (router_ == 0) {
       ::setenv("LB_CONFIG", (folder_ / "config.json").c_str(), 1);
-      if (with_dns) ::setenv("WALKPADDLE_FILE", (folder_ / "walkpaddle.conf").c_str(), 1);
+      if (with_file_) ::setenv("WALKPADDLE_FILE", (folder_ / "walkpaddle.conf").c_str(), 1);
+      if (log_kept_ && std::freopen((folder_ / "log").c_str(), "w", stderr) == nullptr) ::_exit(127);
       ::unsetenv("LB_LISTEN");
       const auto* program = std::getenv("WALKPADDLE");
       ::execl(program, program, nullptr);
@@ -484,6 +499,38 @@
     }
   }
 
+  // learnt: the last log line on it, waited for, less what varies; learnt torn|newer|foreign|changed: to its
+  // file
+  void learnt(const std::string& what) {
+    const auto path = folder_ / "learnt.json";
+    if (what.empty()) {
+      for (int n = 0; n < 500; ++n, ::usleep(10000)) {
+        std::ifstream in(folder_ / "log");
+        std::string last;
+        for (std::string line; std::getline(in, line);)
+          if (line.find(" learnt: ") != std::string::npos) last = line.substr(line.find(" learnt: ") + 1);
+        if (last.empty()) continue;
+        if (const auto at = last.find(path.string()); at != std::string::npos)
+          last.replace(at, path.string().size(), "FILE");
+        if (const auto end = last.find(" s old"); end != std::string::npos)
+          last.replace(last.rfind(' ', end - 1) + 1, end - last.rfind(' ', end - 1) - 1, "?");
+        std::printf("%s\n", last.c_str());
+        return;
+      }
+      fail("line on what is learnt");
+    }
+    std::ifstream in(path);
+    std::string text{std::istreambuf_iterator<char>(in), {}};
+    const auto put = [&](const std::string& from, const std::string& to) {
+      if (const auto at = text.find(from); at != std::string::npos) text.replace(at, from.size(), to);
+    };
+    if (what == "torn") text.resize(text.size() / 2);
+    if (what == "newer") put("\"version\": 1", "\"version\": 2");
+    if (what == "changed") put("\"answers\": ", "\"answers\": 9");
+    if (what == "foreign") text = "hello";
+    std::ofstream(path) << text;
+  }
+
   // The bus opens at another address; the file names it, or holds what is given instead.
   void reload(const std::string& instead) {
     if (instead.empty()) {
@@ -505,6 +552,7 @@
 
   pid_t router_ = -1;
   int port_ = 0, dns_port_ = 0, event_ = 1;
+  bool with_file_ = false, log_kept_ = false;
   std::filesystem::path folder_;
   std::map<std::string, Conn> clients_;
   std::map<std::string, Server> servers_;
@@ -631,8 +679,8 @@
     } else if (what == "ended") {
       const auto verdict = static_cast<Verdict>(l.pick("as", kVerdicts));
       brain.hop_ended(index_of(txns, l.words[1]), static_cast<int>(l.num("hop")), verdict,
-                      static_cast<Note>(l.pick("note", kNotes)), l.num("took", 0.1), l.num("waited"), l.num("sending"),
-                      l.num("over", verdict == Verdict::completed) > 0);
+                      static_cast<Note>(l.pick("note", kNotes)), l.num("took", 0.1), l.num("waited"),
+                      l.num("sending"), l.num("over", verdict == Verdict::completed) > 0);
     } else if (what == "busy") {
       brain.load_told(index_of(members, l.words[1]), l.num("load"));
     } else if (what == "left") {
