--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -72,7 +72,7 @@
   double cap = 16, used = 0, late = 0, least = 4;
   bool full = false;     // was so by half when the last hop ended: more would have been used
   bool crowded = false;  // since it was cut or is cold: until then it may grow by one with each answer
-  Sec cut_at = -kNever, rests_until = 0;
+  Sec cut_at = -kNever, rests_until = 0, judged_at = 0;
   // Each of many routers starts with its part of a small machine's work: three hops at least, or objects
   // move. Cut, it comes down to its part of what one machine still does, under one hop where many share it.
   void share(int routers, double floor = 1) {
@@ -95,8 +95,12 @@
   }
   // quick: no queue, by a known own time. Then a start finds its size in seconds; a guess would overshoot.
   void answered(double lateness, Sec now, bool quick = false) {
+    // Of ten answers, or, where hundreds of routers see few each, of ten seconds; one alone is never the
+    // half.
     constexpr double kLately = 0.1;
-    late += (lateness - late) * kLately;
+    constexpr Sec kOver = 10;
+    late += (lateness - late) * std::clamp((now - judged_at) / kOver, kLately, 0.3);
+    judged_at = now;
     if (late > kTooMany)
       cut(now);
     else if (lateness <= 0 && full)
