What a hop holds of the origin's limit is kept with the hop

Seen on rereading: charge() added a fill's part at the origin by the share of parents' misses at its start and took it off by the share at its end; the share moves meanwhile, so the sum drifted, and a limit could let any number through or none. To blame: fills.hold(fill * par_misses.mean) for both signs. The part now stands in the hop, and what rounding leaves of a sum counts as nothing, as used <= 0 decides on rests. Also gone: a local that only named another.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -84,6 +84,7 @@
   bool room(double weight, Sec now) const { return used <= 0 ? now >= rests_until : used + weight <= cap; }
   void hold(double weight, int sign, Sec took, Sec now) {
     used += sign * weight;
+    if (used < 1e-6) used = 0;  // what rounding leaves is no hop
     if (sign > 0) return;
     constexpr Sec kMost = 20;  // some clients' patience
     full = used + weight > cap / 2;
@@ -154,6 +155,7 @@
   bool out = true, failed = false, source_failed = false, moving = false, fill = false, held_only = false;
   Sec sent = 0;
   double weight = 0, chance = 1;  // chance: that it draws a fill
+  double through = 0;             // what of it is held for the origin behind
 };
 
 struct Txn {
@@ -668,7 +670,8 @@
     h.fill = p.source != p.member && !(e.sib == p.member && now - e.sib_at < 10);
     if (h.fill && x.role == Role::cache && !t.looked && !r.uncacheable) h.chance = misses.mean;
     t.looked = t.looked || (p.source == p.member && x.role == Role::cache);
-    if (h.fill && members[p.source].role == Role::par && !p.held_only) h.behind = origin();
+    if (h.fill && members[p.source].role == Role::par && !p.held_only)
+      h.behind = origin(), h.through = h.weight * h.chance * par_misses.mean;
     charge(t, h, 1);
     spend(x, (x.role == Role::cache ? cold_work(t.rule) : work) * std::max(1.0, t.stands_for));
     if (auto& s = members[p.source]; p.source != p.member)
@@ -727,7 +730,7 @@
     if (h.fill || x.role != Role::cache)
       x.fills.hold(fill, sign, took, now), link.hold(fill, sign, took, now);
     if (h.fill) hold(members[h.source]), members[h.source].fills.hold(fill, sign, took, now);
-    if (h.behind >= 0) members[h.behind].fills.hold(fill * par_misses.mean, sign, took, now);
+    if (h.behind >= 0) members[h.behind].fills.hold(h.through, sign, took, now);
   }
 
   void hop_ended(int i, int n, Verdict v, Note note, Sec took, Sec waited, Sec sending, bool over) override {
@@ -777,12 +780,10 @@
         known = known > 0 ? std::min(known, kb) : kb;
       }
       if (x.role == Role::cache && was_hit) x.hops.answered(late, now, quick);
-      // Where the wait for the first byte is told, the origin's part of it is not the link's nor the
-      // parent's.
-      const bool fetched = note == Note::by_origin && waited > 0;
-      const double carried = late;
-      if (!was_hit) link.answered(carried, now, quick);
+      if (!was_hit) link.answered(late, now, quick);
       if (x.role == Role::origin) x.fills.answered(late, now, quick);
+      // Where the wait for the first byte is told, only that speaks of the origin.
+      const bool fetched = note == Note::by_origin && waited > 0;
       if (h.behind >= 0 && note != Note::filled && note != Note::joined && !was_hit)
         members[h.behind].fills.answered(fetched ? waited > r.sla_time : late, now, quick);
       if (h.behind >= 0 && (note == Note::filled || note == Note::by_origin))
@@ -791,7 +792,7 @@
         went_well(h.source);
         auto& s = members[h.source];
         served(s, work);
-        s.fills.answered(carried, now, quick);
+        s.fills.answered(late, now, quick);
         x.fills.answered(0, now, quick);
         if (is_cold(s)) s.fills.cap += 0.25;
       }
