Lost fills alone cut nothing; cold budgets with a wider margin

Cause: a member is silent, so fills run out their clients' time, 30 to 50 in 5 s, and each halved its parent's limit and cut the origin's, though all answers that came were in time. To blame: fills.cut(now, 0.5) and the cut at the origin on a spent hop, which had replaced lost().

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -107,11 +107,11 @@
     else if (lateness <= 0 && full)
       cap += cap < 1 ? 0.1 : quick && !crowded ? 1 : 1 / cap;
   }
-  void cut(Sec now, double share = 0.8) {
+  void cut(Sec now) {
     constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
     crowded = true;
     if (now - cut_at < kPause) return;
-    cut_at = now, cap = std::max(least, cap * share);
+    cut_at = now, cap = std::max(least, cap * 0.8);
   }
 };
 
@@ -405,7 +405,8 @@
   // each other. Its part of a member is the told size over the routers that may send there; where no size is
   // told, the mean rate it lately got through the warm members of that role: all routers' together fit one.
   double cold_rate(const Member& x) const {
-    constexpr double kMargin = 0.75;  // with the burst of a quarter under the stated multiple in any window
+    constexpr double kMargin =
+        0.6;  // with the burst of a quarter well under the stated multiple in any window
     const bool par = x.role == Role::par;
     const double routers = par ? place.routers : place.seats;
     // At least its part of one transfer: less than any machine's size.
@@ -829,12 +830,15 @@
   void blame(Txn& t, Hop& h, Verdict v, Note note) {
     auto& x = members[h.member];
     const bool other_source = h.source >= 0 && h.source != h.member;
-    // An origin that turns away, or what waits for it in vain, cuts this router's part of it.
+    // An origin that turns away cuts this router's part of it; what waits for it in vain speaks where others
+    // are late.
     const bool spent = v == Verdict::timed_out && now > t.expires - 0.02;
-    if (x.role == Role::origin && (spent || v == Verdict::not_taken)) x.fills.cut(now);
-    if (h.behind >= 0 &&
-        (note == Note::origin_failed || spent || (note == Note::none && v != Verdict::lacking)))
-      members[h.behind].fills.cut(now);
+    const int behind = x.role == Role::origin ? h.member : h.behind;
+    if (behind >= 0 && spent)
+      members[behind].fills.lost(now);
+    else if (behind >= 0 && (note == Note::origin_failed || v == Verdict::not_taken ||
+                             (h.behind >= 0 && note == Note::none && v != Verdict::lacking)))
+      members[behind].fills.cut(now);
     if (note >= Note::source_refused) {
       h.source_failed = other_source && note != Note::no_fill_place;
       h.failed = !h.source_failed;  // else the cache is as good as before
@@ -865,7 +869,7 @@
     }
     if (v == Verdict::timed_out && now > t.expires - 0.02) {
       (h.fill || x.role != Role::cache ? link : x.hops).lost(now);
-      if (h.fill) members[h.source].fills.cut(now, 0.5);
+      if (h.fill) members[h.source].fills.lost(now);
       return;
     }
     // Nobody there: it may start again at any moment, sooner than the list can tell, and is cold from then
