--- a/src/learning/learnt.cpp
+++ b/src/learning/learnt.cpp
@@ -41,7 +41,7 @@
          {"version", kVersion},
          {"family", kept.family},
          {"pace", kept.pace},
-         {"written_ms", std::floor(kept.written * 1e3)},
+         {"written_ms", std::round(kept.written * 1e3)},
          {"rules", json::array()},
          {"unreached", json::array()}};
   for (std::size_t n = 0; n < std::min(kept.rules.size(), kMostRules); ++n) {
@@ -50,7 +50,7 @@
   }
   for (std::size_t n = 0; n < std::min(kept.unreached.size(), kMostMembers); ++n) {
     const auto& u = kept.unreached[n];
-    j["unreached"].push_back({{"member", u.member}, {"at_ms", std::floor(u.at * 1e3)}});
+    j["unreached"].push_back({{"member", u.member}, {"at_ms", std::round(u.at * 1e3)}});
   }
   j["seal"] = seal_of(j);
   return j.dump(1) + "\n";
