--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -20,7 +20,7 @@
 
 constexpr Sec kNever = 1e15;
 constexpr double kThreshold = 1;  // the design's forwarding threshold: kept from the second txn on
-constexpr int kMiddleRank = 2;
+constexpr int kLowestRank = 1, kMiddleRank = 2;
 
 // One step of splitmix64: spreads a member's hash against an object's, the same at every router.
 std::uint64_t mix(std::uint64_t x) {
@@ -227,7 +227,8 @@
   void set_learnt(const Learnt& l) override {
     constexpr int kMost = 10;  // as many answers of the last start as a guessed quiet takes
     for (std::size_t r = 0; r < std::min(rules.size(), l.rules.size()); ++r)
-      if (const auto& [sending, answers] = l.rules[r]; answers > 0 && sending > 0) {
+      if (const auto& [sending, answers] = l.rules[r];
+          answers > 0 && sending > 0 && sending < rules[r].time_limit) {
         const int seen = std::min(answers, kMost);
         mean_work[r] = {.mean = sending, .calm = sending, .seen = seen, .in_quiet = seen, .unproved = kMost};
       }
@@ -657,6 +658,14 @@
     send(i, p);
   }
 
+  // At or under the threshold nothing is kept; where several routers serve the location, one's first is
+  // mostly the location's later, and stays at the rank that leaves first. A look leaves what it finds as it
+  // is.
+  int rank_of(const Txn& t, const Route& p) const {
+    if (t.keep) return kMiddleRank;
+    return place.seats > 1 && p.source != p.member ? kLowestRank : 0;
+  }
+
   void send(int i, const Route& p) {
     auto& t = txns[i];
     const auto& r = rules[t.rule];
@@ -678,10 +687,7 @@
     if (auto& s = members[p.source]; p.source != p.member)
       spend(s, s.role == Role::cache ? cold_work(t.rule) : work);
     Decision d{.kind = Decision::Kind::deliver, .txn = i, .member = p.member, .source = p.source};
-    d.rank = x.role == Role::cache && !r.uncacheable ? (t.keep ? kMiddleRank
-                                                        : place.seats > 1 && p.source != p.member ? 1
-                                                                                                  : 0)
-                                                     : 0;
+    if (x.role == Role::cache && !r.uncacheable) d.rank = rank_of(t, p);
     // After a failure, no hop waits for a fill that may be lost.
     const auto ill = [](const Hop& o) { return o.failed || o.source_failed; };
     d.join = filling.join && !r.uncacheable && std::ranges::none_of(t.hops, ill);
--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -404,11 +404,7 @@
   quickest = std::min(quickest, scheduler_.now() - hop->written_at_);
   auto& end = hop->end_;
   end.note = note;
-  end.waited = std::max(0.0, parse_or(field(fields, "ttfb").value_or(""), 0.0) / 1e3);
-  for (auto meter = field(fields, "meter").value_or(""); !meter.empty();) {
-    auto value = cut(meter, ';');
-    if (cut(value, ':') == "util") end.busy = parse_or(value, -1.0);
-  }
+  end.told = told_by(fields);
   end.still_good = words[1] == "still_good";
   end.etag = etag;
   if (const auto age = field(fields, "age")) end.age = std::max(0.0, parse<double>(*age, "age") / 1e3);
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -14,6 +14,7 @@
 #include "io/log.h"
 #include "io/scheduler.h"
 #include "io/stream.h"
+#include "net/resp.h"
 
 namespace walkpaddle::net {
 
@@ -23,9 +24,8 @@
 struct HopEnd {
   Verdict verdict = Verdict::not_sent;
   Note note = Note::none;
-  Sec waited = 0;  // until its source's first byte or failure, 0 where it is not told
+  Told told;
   bool still_good = false;
-  double busy = -1;  // the share of its capacity in use that it reports, -1 where it does not
   std::string etag, body;
   Sec age = -1;                     // of the copy, -1 where it is not told
   std::vector<std::uint64_t> tags;  // that it names, as stable hashes
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -70,4 +70,14 @@
   return std::nullopt;
 }
 
+Told told_by(std::string_view fields) {
+  Told told;
+  told.waited = std::max(0.0, parse_or(field(fields, "ttfb").value_or(""), 0.0) / 1e3);
+  for (auto meter = field(fields, "meter").value_or(""); !meter.empty();) {
+    auto value = cut(meter, ';');
+    if (cut(value, ':') == "util") told.busy = parse_or(value, -1.0);
+  }
+  return told;
+}
+
 }  // namespace walkpaddle::net
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "sec.h"
+
 namespace walkpaddle::net {
 
 // The words of the array that `bytes` begins with, and how many bytes it took: 0 while it is not whole. What
@@ -24,4 +26,11 @@
 // Malformed.
 std::optional<std::string_view> field(std::string_view fields, std::string_view name);
 
+// What the fields of an answer tell beside it; nonsense reads as not told.
+struct Told {
+  Sec waited = 0;    // until its source's first byte or failure, 0 where it is not told
+  double busy = -1;  // the share of its capacity in use that it reports, -1 where it does not
+};
+Told told_by(std::string_view fields);
+
 }  // namespace walkpaddle::net
--- a/src/net/txn.cpp
+++ b/src/net/txn.cpp
@@ -83,8 +83,8 @@
     const auto size = end.body.size();
     if (completed) give(*client, order, end);
     const Sec sending = bytes_a_second > 0 ? static_cast<double>(size) / bytes_a_second : 0;
-    desk.load_told(d->member, end.busy);
-    seat.hop_ended(end.verdict, end.note, scheduler.now() - hop.started(), end.waited, sending,
+    desk.load_told(d->member, end.told.busy);
+    seat.hop_ended(end.verdict, end.note, scheduler.now() - hop.started(), end.told.waited, sending,
                    completed || seat.left());
     if (seat.left()) co_return;
     if (completed) break;
--- a/tests/learnt_parts.cpp
+++ b/tests/learnt_parts.cpp
@@ -173,5 +173,7 @@
   print("nothing learnt", first_seconds(20, nullptr));
   print("learnt", first_seconds(20, &good_one));
   print("hostile", first_seconds(20, &hostile));
+  const Learnt endless{.rules = {{600, 40}}, .unreached = {}};
+  print("a sending time past the time limit", first_seconds(20, &endless));
   return good ? 0 : 1;
 }
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -625,6 +625,10 @@
     const auto& what = l.words[0];
     if (what == "#") {
       std::printf("%s\n", text.c_str());
+    } else if (what == "told") {
+      const auto told = net::told_by(text.substr(5));
+      std::printf(" waited %.3f, busy %.2f\n", told.waited, told.busy);
+      continue;
     } else if (what == "resp" || what == "frames") {
       play_bytes(what, unescaped(text.substr(what.size() + 1)));
       continue;
