Replicated fleet state, first part: a hybrid clock and the join of server facts

Only purges travel between routers today (src/fleet). Replicated state needs one rule for copies that differ, before any of it can be sent.

The change, src/replica, no I/O: - Clock: a hybrid logical clock (Kulkarni et al. 2014); a stamp follows all given or heard; one heard more than 1 s ahead of the physical clock is refused, so a wild clock cannot outlive news. - Facts: per server, keyed by its start; per observer its latest fact. A later start drops the earlier ones outright. Read as a view: bad news wins at once, slow, cold and limits last 20 s unless seen again, drain and down stand until the observer's own later word or two other observers saw the server ready after it. Deltas by number for a peer that lacks some; bounded by servers (4096) and observers (512), refusals counted; non-finite or negative fields refused.

--- /dev/null
+++ b/src/replica/facts.h
@@ -0,0 +1,94 @@
+// What the routers of a fleet know of the cache servers, as one replicated state, without I/O. A fact is what
+// one router (its observer) saw of one server in one of its starts, stamped on the fleet's hybrid clock when
+// it was seen, never when it was passed on. Copies are joined fact by fact, and the join is commutative,
+// associative and idempotent (a state-based CRDT, Shapiro et al. 2011; its deltas are single facts, Almeida
+// et al. 2018): order, loss and duplicates of messages change nothing.
+//
+// The join: a later start of a server wins outright and drops what was known of the earlier ones. Within a
+// start each observer has one fact, its latest. What a server is taken for is then read from those facts:
+// bad news (slow, cold, draining, down, a lower limit) wins at once; good news only through the observer's
+// own later word, by age (slow and cold and limits last a life), or when `quorum` other observers have seen
+// the server ready after the bad news. What is read never loosens what a router's own list says: the host
+// hands on only what is worse.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "replica/clock.h"
+
+namespace walkpaddle::replica {
+
+enum class Health : std::uint8_t { ready, slow, cold, draining, down };  // each worse than the one before
+constexpr int kHealths = 5;
+
+struct Fact {
+  std::uint64_t server = 0;    // stable hash of its id
+  Sec started = 0;             // its start as the list tells it, on the list's clock; 0: long ago
+  std::uint64_t observer = 0;  // stable hash of the name of the router that saw it
+  Stamp seen;
+  Health health = Health::ready;
+  double limit = 0;  // hops at once that it was seen to bear; 0: not known
+  bool operator==(const Fact&) const = default;
+};
+
+class Facts {
+ public:
+  struct Bounds {
+    // A fleet's list holds some hundreds of servers; beyond this a new one is refused and counted.
+    std::size_t servers = 4096;
+    // The routers of one fleet, its operator's file names them all; a fact of another observer is refused.
+    std::size_t observers = 512;
+    // Slow, cold and a limit hold this long after they were seen unless seen again: a cold server is warm
+    // within 18 to 22 s at the deployments on record, a slow spell lasts 14 to 33 s.
+    Sec life = 20;
+    int quorum = 2;  // other observers that saw it ready later outweigh one's bad news
+  };
+  enum class Took { news, known, old_start, refused };
+  struct View {
+    Sec started = 0;
+    Health health = Health::ready;
+    double limit = 0;   // the lowest of those in force; 0: none
+    int observers = 0;  // that have a fact of this start
+    Stamp newest;       // the latest fact of this start
+  };
+
+  Facts() : Facts(Bounds{}) {}
+  explicit Facts(const Bounds& bounds) : bounds_(bounds) {}
+
+  Took take(const Fact& fact);    // the join, one fact at a time; a router's own facts come the same way
+  void join(const Facts& other);  // all of another copy
+  std::optional<View> view(std::uint64_t server, Stamp now) const;
+
+  // Deltas: each fact taken as news gets a number here, greater than all before; what a peer lacks is what
+  // came after the last number it holds. At most `most` facts, in order; a number to go on from.
+  std::vector<Fact> since(std::uint64_t after, std::size_t most, std::uint64_t* through = nullptr) const;
+  std::uint64_t version() const { return version_; }
+
+  std::vector<Fact> all() const;  // in a fixed order, the same for equal copies
+  std::size_t servers() const { return servers_.size(); }
+  std::uint64_t refused() const { return refused_; }
+  const Bounds& bounds() const { return bounds_; }
+
+ private:
+  struct Held {
+    Fact fact;
+    std::uint64_t number = 0;
+  };
+  struct Server {
+    Sec started = 0;
+    std::map<std::uint64_t, Held> by_observer;
+  };
+  static bool later(const Fact& a, const Fact& b);  // a outranks b from the same observer
+  Health in_force(const Fact& fact, Stamp now) const;
+
+  const Bounds bounds_;
+  std::map<std::uint64_t, Server> servers_;
+  std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> numbers_;  // number: server, observer
+  std::uint64_t version_ = 0, refused_ = 0;
+};
+
+}  // namespace walkpaddle::replica
