Facts of cache servers go between routers; a drain one bus tells is heeded by all

The change: - replica::Watch (no I/O): the router's own list becomes its own facts (draining, down, a start the facts do not know is cold); the fleet's facts, where worse than the list, are what the module is told: drained, gone, or a later start, never better than the list. Deltas to each peer in batches of 64, again after 1 s without acknowledgement; a peer that connects anew is sent all again. - fleet links carry two more messages (Cap'n Proto, fields added at the end): a batch of facts with the number it brings the receiver to, and its acknowledgement. Read whole before any is handed on. - net::List hands each listing to the watch and, after each list and each batch of facts, tells the module through list_member only; `fleet { share = true }` in the operator's file, off unless written.

--- /dev/null
+++ b/lab/fleet.cpp
@@ -0,0 +1,250 @@
+#include "lab/fleet.h"
+
+#include <fcntl.h>
+#include <fmt/core.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <unordered_map>
+
+#include "net/resp.h"
+#include "tests/platform.h"
+#include "text.h"
+
+namespace walkpaddle::lab {
+
+namespace {
+
+constexpr std::uint32_t kLoopback = 0x7f000001;
+
+std::string big_end(std::uint64_t value, int bytes) {
+  std::string out;
+  for (int n = bytes - 1; n >= 0; --n) out += static_cast<char>(value >> (8 * n) & 255);
+  return out;
+}
+
+std::string object_name(int n) { return fmt::format("{:016x}", 0x2000 + n); }
+
+std::string box_id(int n) { return fmt::format("s-{:08x}", 0xb0 + n); }
+
+}  // namespace
+
+Fleet::Fleet(const Setup& setup) : setup_(setup), chance_(setup.seed), outbox_(scheduler_, 64 << 20) {
+  program_ = std::getenv("WALKPADDLE");
+  if (program_ == nullptr) throw std::runtime_error("WALKPADDLE is not set");
+  folder_ = (std::filesystem::temp_directory_path() / fmt::format("walkpaddle-lab-{}", ::getpid())).string();
+  std::filesystem::create_directory(folder_);
+  const int servers = setup_.boxes + 2;
+  for (int n = 0; n < servers; ++n)
+    boxes_.push_back(std::make_unique<standins::Server>(scheduler_, outbox_, box_id(n),
+                                                        n < setup_.boxes    ? standins::Server::Kind::box
+                                                        : n == setup_.boxes ? standins::Server::Kind::parent
+                                                                            : standins::Server::Kind::origin,
+                                                        standins::Server::Habits{}));
+  std::vector<standins::Server*> all;
+  for (auto& s : boxes_) all.push_back(s.get());
+  for (auto& s : boxes_) s->know(all);
+  for (int n = 0; n < setup_.objects; ++n) boxes_.back()->change(object_name(n), {});
+  routers_.resize(static_cast<std::size_t>(setup_.routers));
+  for (auto& r : routers_) {
+    r.port = standins::port_of(listen_on(Address{kLoopback, 0}).get());
+    r.fleet_port = standins::port_of(listen_on(Address{kLoopback, 0}).get());
+    r.bus.listener = listen_on(Address{kLoopback, 0});
+    r.bus.port = standins::port_of(r.bus.listener.get());
+  }
+  for (int a = 0; a < setup_.routers; ++a)
+    for (int b = a + 1; b < setup_.routers; ++b)
+      relays_[{a, b}] = std::make_unique<standins::Relay>(scheduler_, outbox_,
+                                                          routers_[static_cast<std::size_t>(b)].fleet_port);
+  for (int n = 0; n < setup_.routers; ++n) write_files(n);
+}
+
+Fleet::~Fleet() {
+  for (auto& r : routers_)
+    if (r.pid > 0) ::kill(r.pid, SIGKILL), ::waitpid(r.pid, nullptr, 0);
+  scheduler_.drop_tasks();
+  std::filesystem::remove_all(folder_);
+}
+
+std::string Fleet::member(int box, int state, Sec started) const {
+  const auto& s = *boxes_[static_cast<std::size_t>(box)];
+  const bool edge = box < setup_.boxes;
+  return big_end(std::stoul(s.id().substr(2), nullptr, 16), 4) + big_end(kLoopback, 4) +
+         big_end(static_cast<unsigned>(s.port()), 2) + big_end(static_cast<unsigned>(state), 1) +
+         big_end(edge ? 1 : 0, 1) +
+         big_end(edge                  ? 0
+                 : box == setup_.boxes ? 1
+                                       : 2,
+                 1) +
+         big_end(0, 2) + big_end(1000, 4) + big_end(static_cast<std::uint64_t>(started * 1e3), 8);
+}
+
+void Fleet::write_files(int n) {
+  auto& r = routers_[static_cast<std::size_t>(n)];
+  r.folder = fmt::format("{}/r{}", folder_, n);
+  std::filesystem::create_directory(r.folder);
+  std::string members;
+  for (int s = 0; s < setup_.boxes + 2; ++s) {
+    if (s > 0) members += ",";
+    members += member_text(boxes_[static_cast<std::size_t>(s)]->id(),
+                           boxes_[static_cast<std::size_t>(s)]->port(), s < setup_.boxes ? "edge" : "hub",
+                           s < setup_.boxes    ? "cache"
+                           : s == setup_.boxes ? "parent"
+                                               : "origin");
+  }
+  std::ofstream(r.folder + "/config.json")
+      << config_text(fmt::format("r{}", n), r.port, r.bus.port, members, R"({"sockets":128,"memory_mb":32})");
+  std::ofstream file(r.folder + "/walkpaddle.conf");
+  file << fmt::format("fleet {{\n name = \"r{}\"\n listen = \"127.0.0.1:{}\"\n share = {}\n", n, r.fleet_port,
+                      setup_.share ? "true" : "false");
+  for (int p = 0; p < setup_.routers; ++p)
+    if (p != n)
+      file << fmt::format(" peer \"r{}\" {{ address = \"127.0.0.1:{}\" }}\n", p,
+                          p > n ? relays_[{n, p}]->port() : routers_[static_cast<std::size_t>(p)].fleet_port);
+  file << "}\n";
+}
+
+void Fleet::start_all() {
+  for (int n = 0; n < setup_.routers; ++n) {
+    start(n);
+    scheduler_.start(follow(n));
+    scheduler_.start(clients_of(n));
+  }
+}
+
+void Fleet::start(int n) {
+  auto& r = routers_[static_cast<std::size_t>(n)];
+  if (r.pid > 0) return;
+  const std::string config = r.folder + "/config.json", file = r.folder + "/walkpaddle.conf",
+                    log = r.folder + "/log";
+  r.pid = ::fork();
+  if (r.pid != 0) return;
+  ::setenv("LB_CONFIG", config.c_str(), 1);
+  ::unsetenv("LB_LISTEN");
+  const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  ::dup2(out, 1), ::dup2(out, 2);
+  const char* args[] = {program_, "run", "--file", file.c_str(), nullptr};
+  ::execv(program_, const_cast<char* const*>(args));
+  ::_exit(127);
+}
+
+void Fleet::kill(int n) {
+  auto& r = routers_[static_cast<std::size_t>(n)];
+  if (r.pid <= 0) return;
+  ::kill(r.pid, SIGKILL), ::waitpid(r.pid, nullptr, 0);
+  r.pid = -1;
+}
+
+void Fleet::stall(int n, bool stalled) {
+  if (const auto pid = routers_[static_cast<std::size_t>(n)].pid; pid > 0)
+    ::kill(pid, stalled ? SIGSTOP : SIGCONT);
+}
+
+void Fleet::cut(int a, int b, Sec until) { relays_.at({std::min(a, b), std::max(a, b)})->cut(until); }
+
+void Fleet::drains(int router, int box) { frame(router, 2, member(box, 1, 0)); }
+
+void Fleet::restarted(int router, int box, Sec started) { frame(router, 2, member(box, 0, started)); }
+
+void Fleet::frame(int n, int kind, const std::string& payload) {
+  auto& bus = routers_[static_cast<std::size_t>(n)].bus;
+  if (!bus.stream) throw std::runtime_error(fmt::format("r{} does not follow its bus", n));
+  bus.stream->write(big_end(9 + payload.size(), 4) + big_end(++bus.number, 8) +
+                    big_end(static_cast<unsigned>(kind), 1) + payload);
+}
+
+std::string Fleet::log_of(int n) const {
+  std::ifstream in(routers_[static_cast<std::size_t>(n)].folder + "/log");
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+// The bus of one router: a connection at a time, the newest; the router says the last event it holds. An
+// empty frame every half second, as the platform's bus sends one each second at least.
+Task Fleet::follow(int n) {
+  auto& bus = routers_[static_cast<std::size_t>(n)].bus;
+  Event wait(scheduler_);
+  for (;;) {
+    if (Fd fd{::accept4(bus.listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)}) {
+      auto stream = std::make_unique<Stream>(scheduler_, outbox_, std::move(fd));
+      const Sec until = scheduler_.now() + 2;
+      while (stream->in().size() < 8 && scheduler_.now() < until) {
+        if (stream->read() == Stream::Came::end) break;
+        if (stream->in().size() < 8) co_await stream->readable(until);
+      }
+      if (stream->in().size() >= 8) {
+        std::uint64_t last = 0;
+        for (int b = 0; b < 8; ++b) last = last << 8 | static_cast<unsigned char>(stream->in()[b]);
+        stream->consume(8);
+        bus.number = std::max(bus.number, last);
+        bus.stream = std::move(stream);
+      }
+      continue;
+    }
+    if (bus.stream) {
+      while (bus.stream->read() == Stream::Came::bytes) bus.stream->consume(bus.stream->in().size());
+      bus.stream->write(big_end(9, 4) + big_end(bus.number, 8) + big_end(0, 1));
+    }
+    co_await wait.wait(scheduler_.now() + 0.05);
+  }
+}
+
+// Open-loop clients, some tens of txns a second, over objects of which some are asked for more often.
+Task Fleet::clients_of(int n) {
+  auto& r = routers_[static_cast<std::size_t>(n)];
+  Event wait(scheduler_);
+  std::uniform_real_distribution<> roll(0, 1);
+  for (;;) {
+    if (r.pid <= 0) {
+      co_await wait.wait(scheduler_.now() + 0.05);
+      continue;
+    }
+    Fd fd = dial(Address{kLoopback, static_cast<std::uint16_t>(r.port)});
+    if (!fd) {
+      co_await wait.wait(scheduler_.now() + 0.05);
+      continue;
+    }
+    Stream stream(scheduler_, outbox_, std::move(fd));
+    co_await stream.writable(scheduler_.now() + 0.5);
+    std::unordered_map<std::string, Sec> open;
+    int tag = 0;
+    for (Sec next = scheduler_.now(); r.pid > 0;) {
+      const auto came = stream.read();
+      if (came == Stream::Came::end) break;
+      if (came == Stream::Came::bytes) {
+        net::Words words;
+        for (;;) {
+          net::read_words(stream.in(), 8, 1 << 20, words);
+          if (words.used == 0) break;
+          const auto& w = words.words;
+          if (open.erase(std::string(w[0])) > 0) ++(w[1] == "RESULT" ? r.counts.answered : r.counts.refused);
+          stream.consume(words.used);
+        }
+        continue;
+      }
+      if (scheduler_.now() >= next) {
+        next = std::max(next + 0.02, scheduler_.now() - 0.1);
+        if (open.size() < 16) {
+          const int object = static_cast<int>(setup_.objects * roll(chance_) * roll(chance_));
+          const auto t = std::to_string(++tag);
+          open[t] = scheduler_.now(), ++r.counts.asked;
+          stream.write(net::words_text(
+              {"EXEC", t, "page",
+               fmt::format("txn={:016x},limit=2000,item={},seg=0,bucket=1", ++txns_, object_name(object))}));
+        }
+        continue;
+      }
+      co_await stream.readable(next);
+    }
+    co_await wait.wait(scheduler_.now() + 0.05);
+  }
+}
+
+}  // namespace walkpaddle::lab
--- /dev/null
+++ b/lab/fleet.h
@@ -0,0 +1,85 @@
+// The laboratory's fleet: routers as processes of `walkpaddle` on loopback, among stand-in cache servers, a
+// parent and an origin, each router with an event bus of its own, each link between routers through a relay
+// that can be cut; clients at every router. Faults on call: a cut link, a stalled router (SIGSTOP, SIGCONT),
+// a crash (SIGKILL) and a start again. All in one process on the project's scheduler, bounded in count and
+// time; what it started it ends.
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "io/stream.h"
+#include "standins/world.h"
+
+namespace walkpaddle::lab {
+
+class Fleet {
+ public:
+  struct Setup {
+    int routers = 3, boxes = 4, objects = 60;
+    bool share = true;  // what is known of the servers goes between routers
+    unsigned seed = 1;
+  };
+  struct Counts {
+    int asked = 0, answered = 0, refused = 0;
+  };
+
+  explicit Fleet(const Setup& setup);  // WALKPADDLE names the program
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  Scheduler& scheduler() { return scheduler_; }
+  void start_all();
+  // Faults.
+  void start(int router);
+  void kill(int router);
+  void stall(int router, bool stalled);
+  void cut(int a, int b, Sec until);  // the link between two routers; 0 heals it
+  // What one router's bus says: a box drains, or it started anew at `started` (Unix time).
+  void drains(int router, int box);
+  void restarted(int router, int box, Sec started);
+
+  int served(int box) const { return boxes_[static_cast<std::size_t>(box)]->counts().served; }
+  const Counts& counts(int router) const { return routers_[static_cast<std::size_t>(router)].counts; }
+  bool running(int router) const { return routers_[static_cast<std::size_t>(router)].pid > 0; }
+  std::string log_of(int router) const;  // its standard error, as far as it came
+
+ private:
+  struct Bus {
+    Fd listener;
+    int port = 0;
+    std::unique_ptr<Stream> stream;
+    std::uint64_t number = 0;  // of the last event written
+  };
+  struct Router {
+    int port = 0, fleet_port = 0;
+    pid_t pid = -1;
+    std::string folder;
+    Bus bus;
+    Counts counts;
+  };
+  void write_files(int n);
+  void frame(int router, int kind, const std::string& payload);
+  std::string member(int box, int state, Sec started) const;
+  Task follow(int router);
+  Task clients_of(int router);
+
+  const Setup setup_;
+  std::mt19937 chance_;
+  const char* program_;
+  std::string folder_;
+  Scheduler scheduler_;
+  Outbox outbox_;
+  std::vector<std::unique_ptr<standins::Server>> boxes_;  // the boxes, then parent and origin
+  std::vector<Router> routers_;
+  std::map<std::pair<int, int>, std::unique_ptr<standins::Relay>> relays_;
+  std::uint64_t txns_ = 0;
+};
+
+}  // namespace walkpaddle::lab
--- a/src/control/file.cpp
+++ b/src/control/file.cpp
@@ -105,6 +105,7 @@
                        CFG_INT("copy_life", 86400, CFGF_NONE),
                        CFG_INT("entries", 65536, CFGF_NONE),
                        CFG_INT("objects", 16384, CFGF_NONE),
+                       CFG_BOOL("share", cfg_false, CFGF_NONE),
                        CFG_SEC("peer", peer, CFGF_MULTI | CFGF_TITLE | CFGF_NO_TITLE_DUPES),
                        CFG_END()};
   cfg_opt_t store[] = {CFG_STR("folder", nullptr, CFGF_NODEFAULT), CFG_INT("megabytes", 256, CFGF_NONE),
@@ -161,6 +162,7 @@
     if (to.name.empty()) refuse(path, s, "fleet without name");
     if (to.listen.empty()) refuse(path, s, "fleet without listen");
     to.lease = cfg_getfloat(s, "lease");
+    to.share = cfg_getbool(s, "share");
     to.beat = cfg_getfloat(s, "beat") > 0 ? cfg_getfloat(s, "beat") : to.lease / 5;
     if (to.beat > to.lease / 2)
       refuse(path, s, "beat is more than half of lease: each lost one would cost trust");
--- a/src/control/file.h
+++ b/src/control/file.h
@@ -19,6 +19,7 @@
     std::string name, listen;
     std::vector<Peer> peers;
     Sec lease = 2, beat = 0.4, copy_life = 86400;
+    bool share = false;  // what is known of the cache servers goes between routers too
     int entries = 65536, objects = 16384;
   } fleet;
   struct Dns {
--- a/src/fleet/fleet.capnp
+++ b/src/fleet/fleet.capnp
@@ -28,6 +28,8 @@
     beat @1 :Beat;
     entry @2 :Entry;
     want @3 :Want;
+    facts @4 :Facts;
+    held @5 :UInt64;   # of the facts sent to it, it holds all up to this number
   }
 }
 
@@ -47,3 +49,19 @@
   issuer @0 :UInt64;
   from @1 :UInt64;
 }
+
+# What one router saw of one cache server in one of its starts; see src/replica/facts.h.
+struct Fact {
+  server @0 :UInt64;
+  started @1 :Float64;   # on the list's clock; 0: long ago
+  observer @2 :UInt64;
+  micros @3 :Int64;      # when it was seen, on the fleet's hybrid clock
+  count @4 :UInt32;
+  health @5 :UInt8;      # ready, slow, cold, draining, down
+  limit @6 :Float64;     # 0: not known
+}
+
+struct Facts {
+  facts @0 :List(Fact);
+  through @1 :UInt64;    # with these the receiver holds all of the sender's up to here
+}
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -86,6 +86,25 @@
     }
     case schema::Message::WANT:
       return into.want(m.getWant().getIssuer(), m.getWant().getFrom());
+    case schema::Message::FACTS: {
+      // Read whole before any is handed on.
+      std::vector<replica::Fact> facts;
+      for (const auto f : m.getFacts().getFacts()) {
+        if (f.getHealth() >= replica::kHealths) bad("health", std::to_string(f.getHealth()));
+        if (!std::isfinite(f.getLimit()) || f.getLimit() < 0) bad("limit", std::to_string(f.getLimit()));
+        if (f.getMicros() < 0) bad("stamp", std::to_string(f.getMicros()));
+        facts.push_back({.server = f.getServer(),
+                         .started = time_of(f.getStarted()),
+                         .observer = f.getObserver(),
+                         .seen = {.micros = f.getMicros(), .count = f.getCount()},
+                         .health = static_cast<replica::Health>(f.getHealth()),
+                         .limit = f.getLimit()});
+      }
+      for (const auto& f : facts) into.fact(f);
+      return into.facts_end(m.getFacts().getThrough());
+    }
+    case schema::Message::HELD:
+      return into.facts_held(m.getHeld());
   }
   // A newer router's: passed over.
 }
@@ -153,6 +172,31 @@
   return framed(message);
 }
 
+std::string facts_message(const std::vector<replica::Fact>& facts, std::uint64_t through) {
+  capnp::MallocMessageBuilder message;
+  auto batch = message.initRoot<schema::Message>().initFacts();
+  batch.setThrough(through);
+  auto list = batch.initFacts(static_cast<unsigned>(facts.size()));
+  for (unsigned n = 0; n < facts.size(); ++n) {
+    const auto& f = facts[n];
+    auto b = list[n];
+    b.setServer(f.server);
+    b.setStarted(f.started);
+    b.setObserver(f.observer);
+    b.setMicros(f.seen.micros);
+    b.setCount(f.seen.count);
+    b.setHealth(static_cast<std::uint8_t>(f.health));
+    b.setLimit(f.limit);
+  }
+  return framed(message);
+}
+
+std::string held_message(std::uint64_t through) {
+  capnp::MallocMessageBuilder message;
+  message.initRoot<schema::Message>().setHeld(through);
+  return framed(message);
+}
+
 std::string stored_text(const Entry& e) {
   capnp::MallocMessageBuilder message;
   auto entry = message.initRoot<schema::Entry>();
--- a/src/fleet/wire.h
+++ b/src/fleet/wire.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fleet/sync.h"
+#include "replica/facts.h"
 
 namespace walkpaddle::fleet {
 
@@ -26,6 +27,9 @@
   virtual void beat_end() = 0;
   virtual void entry(const Stamp& stamp, Kind kind, std::string_view what) = 0;
   virtual void want(std::uint64_t issuer, std::uint64_t from) = 0;
+  virtual void fact(const replica::Fact& fact) = 0;  // each of a batch, then its end
+  virtual void facts_end(std::uint64_t through) = 0;
+  virtual void facts_held(std::uint64_t through) = 0;
 
  protected:
   ~Messages() = default;
@@ -38,6 +42,8 @@
 std::string beat_message(const purge::Book& book, const Sync& sync, Sec now, Sec echo);
 std::string entry_message(const Entry& entry);
 std::string want_message(std::uint64_t issuer, std::uint64_t from);
+std::string facts_message(const std::vector<replica::Fact>& facts, std::uint64_t through);
+std::string held_message(std::uint64_t through);
 
 // An entry as it stands in the store, with `from` and its place; read back it is handed to `take`.
 std::string stored_text(const Entry& entry);
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -17,9 +17,30 @@
   caches_.told(m, address, state);
   desk_.purges().boxes().listed(m, state != Listed::gone);
   desk_.input().list_member(m, stable_hash(id), location, kind, cell, state, weight, started);
+  if (watch_ != nullptr)
+    watch_->listed(m, {stable_hash(id), location, kind, cell, state, weight, started}, scheduler_.now());
 }
 
-void List::list_end() { desk_.input().list_end(); }
+void List::list_end() {
+  desk_.input().list_end();
+  tell_facts();
+}
+
+void List::tell_facts() {
+  if (watch_ == nullptr) return;
+  const auto tells = watch_->to_tell(scheduler_.now());
+  if (tells.empty()) return;
+  auto& brain = desk_.input();
+  brain.list_begin(false);
+  for (const auto& [m, l] : tells) {
+    brain.list_member(m, l.hash, l.location, l.kind, l.cell, l.state, l.weight, l.started);
+    log_("fleet", "{}: {} as the fleet has it", caches_.id(m),
+         l.state == Listed::gone       ? "gone"
+         : l.state == Listed::draining ? "draining"
+                                       : "listed");
+  }
+  brain.list_end();
+}
 
 void List::purged(std::string_view object, Sec at) {
   desk_.purges().bus_object(stable_hash(object), std::min(at, scheduler_.now()));
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -8,6 +8,7 @@
 #include "net/caches.h"
 #include "net/desk.h"
 #include "net/frames.h"
+#include "replica/watch.h"
 
 namespace walkpaddle::net {
 
@@ -22,6 +23,8 @@
         pause_over_(scheduler) {}
 
   void held(std::uint64_t last) { last_ = last; }
+  void share(replica::Watch* watch) { watch_ = watch; }  // what the fleet knows of the servers
+  void tell_facts();                // where the fleet's facts are worse than the list: the module is told
   void follow(const Address& bus);  // from the last event held; a second call moves to another address
 
   void list_begin(bool whole) override;
@@ -45,6 +48,7 @@
   Address bus_;
   bool following_ = false, moved_ = false;
   Stream* stream_ = nullptr;  // the connection in use, if there is one
+  replica::Watch* watch_ = nullptr;
   Event pause_over_;
 };
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -108,6 +108,14 @@
   if (f.on) {
     fleet::Links::Setup links{f.name, parse_address(f.listen), {}};
     for (const auto& p : f.peers) links.peers.push_back({p.name, parse_address(p.address)});
+    if (f.share) {
+      // Observers are the routers by name: the same after a restart, so a router's later word replaces its
+      // earlier one.
+      watch_ = std::make_unique<replica::Watch>(stable_hash(f.name), static_cast<int>(f.peers.size()),
+                                                replica::Facts::Bounds{}, replica::Watch::Bounds{}, 1.0);
+      list_.share(watch_.get());
+      links.watch = watch_.get(), links.after_facts = [this] { list_.tell_facts(); };
+    }
     links_ = std::make_unique<fleet::Links>(scheduler_, outbox_, log_, purges_, links);
   }
   if (file_.tell_boxes) teller_ = std::make_unique<Teller>(scheduler_, log_, purges_, caches_, run_);
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -87,6 +87,7 @@
   Caches caches_;
   List list_;
   Clients clients_;
+  std::unique_ptr<replica::Watch> watch_;
   std::unique_ptr<fleet::Keeper> keeper_;
   std::unique_ptr<fleet::Links> links_;
   std::unique_ptr<Teller> teller_;
--- a/tests/replica_parts.cpp
+++ b/tests/replica_parts.cpp
@@ -9,6 +9,7 @@
 
 #include "replica/clock.h"
 #include "replica/facts.h"
+#include "replica/watch.h"
 
 using namespace walkpaddle;
 using namespace walkpaddle::replica;
@@ -223,11 +224,68 @@
   say("a drain falls to two later words of ready, a cold spell to its age", one && two && cold);
 }
 
+int badness(Listed s) { return s == Listed::gone ? 2 : s == Listed::draining ? 1 : 0; }
+
+void watch_parts() {
+  say("what the module is told is never better than the router's own list", rc::check([] {
+        Watch watch(100, 0, {}, {}, 1.0);
+        std::map<int, Watch::Listing> own;
+        Sec now = 1000;
+        for (const auto& [m, state, start, heard] :
+             *rc::gen::container<std::vector<std::tuple<int, int, int, bool>>>(
+                 rc::gen::tuple(rc::gen::inRange(0, 4), rc::gen::inRange(0, 3), rc::gen::inRange(0, 3),
+                                rc::gen::arbitrary<bool>()))) {
+          now += 0.5;
+          const auto hash = static_cast<std::uint64_t>(m);
+          if (heard) {
+            watch.heard({.server = hash,
+                         .started = 10.0 * start,
+                         .observer = static_cast<std::uint64_t>(1 + static_cast<int>(now * 2) % 4),
+                         .seen = {.micros = static_cast<std::int64_t>(now * 1e6), .count = 0},
+                         .health = static_cast<Health>(state * 2 % kHealths),
+                         .limit = 0},
+                        now);
+          } else {
+            own[m] = {
+                .hash = hash, .state = static_cast<Listed>(state), .weight = 1, .started = 10.0 * start};
+            watch.listed(m, own[m], now);
+          }
+          for (const auto& tell : watch.to_tell(now)) {
+            const auto& mine = own.at(tell.member);
+            RC_ASSERT(tell.listing.started >= mine.started);
+            if (tell.listing.started == mine.started)
+              RC_ASSERT(badness(tell.listing.state) >= badness(mine.state));
+          }
+        }
+      }));
+  say("two routers over a link that loses most batches come to hold the same facts", rc::check([] {
+        Watch a(1, 1, {}, {}, 1.0), b(2, 1, {}, {}, 1.0);
+        Sec now = 1000;
+        for (int m = 0; m < *rc::gen::inRange(1, 40); ++m) {
+          a.listed(m, {.hash = static_cast<std::uint64_t>(m), .state = Listed::draining}, now);
+          b.listed(m, {.hash = static_cast<std::uint64_t>(100 + m), .state = Listed::gone}, now);
+        }
+        a.up(0), b.up(0);
+        std::mt19937 chance(*rc::gen::arbitrary<unsigned>());
+        for (int step = 0; step < 2000; ++step) {
+          now += 0.25;
+          for (auto [from, to] : {std::pair(&a, &b), std::pair(&b, &a)})
+            while (const auto send = from->next(now)) {
+              if (chance() % 4 != 0) continue;  // lost
+              for (const auto& f : send->facts) to->heard(f, now);
+              if (chance() % 2 == 0) from->held(0, send->through);  // the acknowledgement may be lost too
+            }
+        }
+        RC_ASSERT(a.facts().all() == b.facts().all());
+      }));
+}
+
 }  // namespace
 
 int main() {
   clock_parts();
   join_parts();
   bound_parts();
+  watch_parts();
   return all_good ? 0 : 1;
 }
