--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <system_error>
 #include <unordered_map>
 
 #include "net/resp.h"
@@ -33,6 +34,22 @@
 
 std::string box_id(int n) { return fmt::format("s-{:08x}", 0xb0 + n); }
 
+// A port for a router to listen on, below the kernel's range for outgoing connections (32768 on), so that no
+// connection of another takes it between this look and the router's start; from where the last one ended.
+int free_port(int& next) {
+  constexpr int kFirst = 20000, kLast = 32000;
+  for (int tries = 0; tries < kLast - kFirst; ++tries) {
+    const int port = next;
+    next = next + 1 >= kLast ? kFirst : next + 1;
+    try {
+      listen_on(Address{kLoopback, static_cast<std::uint16_t>(port)});
+      return port;
+    } catch (const std::system_error&) {
+    }
+  }
+  throw std::runtime_error("no port free from 20000 to 32000");
+}
+
 }  // namespace
 
 Fleet::Fleet(const Setup& setup) : setup_(setup), chance_(setup.seed), outbox_(scheduler_, 64 << 20) {
@@ -52,9 +69,10 @@
   for (auto& s : boxes_) s->know(all);
   for (int n = 0; n < setup_.objects; ++n) boxes_.back()->change(object_name(n), {});
   routers_.resize(static_cast<std::size_t>(setup_.routers));
+  int next = 20000 + static_cast<int>(chance_() % 10000);
   for (auto& r : routers_) {
-    r.port = standins::port_of(listen_on(Address{kLoopback, 0}).get());
-    r.fleet_port = standins::port_of(listen_on(Address{kLoopback, 0}).get());
+    r.port = free_port(next);
+    r.fleet_port = free_port(next);
     r.bus.listener = listen_on(Address{kLoopback, 0});
     r.bus.port = standins::port_of(r.bus.listener.get());
   }
@@ -114,7 +132,7 @@
   for (int n = 0; n < setup_.routers; ++n) {
     start(n);
     scheduler_.start(follow(n));
-    scheduler_.start(clients_of(n));
+    if (setup_.clients) scheduler_.start(clients_of(n));
   }
 }
 
@@ -159,6 +177,12 @@
                     big_end(static_cast<unsigned>(kind), 1) + payload);
 }
 
+std::uint64_t Fleet::between_routers() const {
+  std::uint64_t bytes = 0;
+  for (const auto& [pair, relay] : relays_) bytes += relay->passed();
+  return bytes;
+}
+
 std::string Fleet::log_of(int n) const {
   std::ifstream in(routers_[static_cast<std::size_t>(n)].folder + "/log");
   std::stringstream text;
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -24,6 +24,7 @@
     int routers = 3, boxes = 4, objects = 60;
     bool share = true;  // what is known of the servers goes between routers
     unsigned seed = 1;
+    bool clients = true;  // some tens of txns a second at each router
   };
   struct Counts {
     int asked = 0, answered = 0, refused = 0;
@@ -49,6 +50,7 @@
   const Counts& counts(int router) const { return routers_[static_cast<std::size_t>(router)].counts; }
   bool running(int router) const { return routers_[static_cast<std::size_t>(router)].pid > 0; }
   std::string log_of(int router) const;  // its standard error, as far as it came
+  std::uint64_t between_routers() const;  // bytes passed by the links' relays, both ways
 
  private:
   struct Bus {
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -34,7 +34,7 @@
   brain.list_begin(false);
   for (const auto& [m, l] : tells) {
     brain.list_member(m, l.hash, l.location, l.kind, l.cell, l.state, l.weight, l.started);
-    log_("fleet", "{}: {} as the fleet has it", caches_.id(m),
+    log_("facts", "{}: {} as the fleet has it", caches_.id(m),
          l.state == Listed::gone       ? "gone"
          : l.state == Listed::draining ? "draining"
                                        : "listed");
