A drain or a going shared by a router lasts 30 s unless its observer says it again

Cause: a fact of a drain stood until its observer's own later word or two other observers' later ready. Those others write a fact only when their own list changes, so the drain of a router that is gone for good (or cut off from its bus for good) left the server idle at every peer until it started anew. Seen in the reading of the rule, replica/facts.cpp in_force: only slow and cold aged.

The change: drains and goings hold 30 s (Facts::Bounds::hard_life); the observer renews its own while its list still says so, every 10 s, so two renewals may be lost (Watch::next, renew_at, and the due time of the links' turns). Deltas carry the renewals as any other news.

--- a/src/replica/facts.cpp
+++ b/src/replica/facts.cpp
@@ -63,7 +63,8 @@
 }
 
 Health Facts::in_force(const Fact& f, Stamp now) const {
-  return soft(f.health) && age(f.seen, now) > bounds_.life ? Health::ready : f.health;
+  if (f.health == Health::ready) return f.health;
+  return age(f.seen, now) > (soft(f.health) ? bounds_.life : bounds_.hard_life) ? Health::ready : f.health;
 }
 
 std::optional<Facts::View> Facts::view(std::uint64_t id, Stamp now) const {
--- a/src/replica/facts.h
+++ b/src/replica/facts.h
@@ -7,7 +7,8 @@
 // The join: a later start of a server wins outright and drops what was known of the earlier ones. Within a
 // start each observer has one fact, its latest. What a server is taken for is then read from those facts:
 // bad news (slow, cold, draining, down, a lower limit) wins at once; good news only through the observer's
-// own later word, by age (slow and cold and limits last a life), or when `quorum` other observers have seen
+// own later word, by age (slow and cold and limits last a life, drains and goings a longer one, which their
+// observer renews while its list says so), or when `quorum` other observers have seen
 // the server ready after the bad news. What is read never loosens what a router's own list says: the host
 // hands on only what is worse.
 #pragma once
@@ -45,6 +46,10 @@
     // Slow, cold and a limit hold this long after they were seen unless seen again: a cold server is warm
     // within 18 to 22 s at the deployments on record, a slow spell lasts 14 to 33 s.
     Sec life = 20;
+    // A drain or a going holds this long unless its observer says it again. Its observer renews it a third of
+    // this: two renewals may be lost. One whose observer is gone for good ends, so no server is left idle by
+    // a word that nobody can take back.
+    Sec hard_life = 30;
     int quorum = 2;  // other observers that saw it ready later outweigh one's bad news
   };
   enum class Took { news, known, old_start, refused };
--- a/src/replica/watch.cpp
+++ b/src/replica/watch.cpp
@@ -5,6 +5,12 @@
 
 namespace walkpaddle::replica {
 
+namespace {
+
+constexpr Sec kNever = 1e15;
+
+}  // namespace
+
 Watch::Watch(std::uint64_t self, int peers, const Facts::Bounds& facts, const Bounds& bounds, Sec most_ahead)
     : self_(self),
       bounds_(bounds),
@@ -26,14 +32,24 @@
                         : listing.state == Listed::draining ? Health::draining
                         : restart                           ? Health::cold
                                                             : Health::ready;
-  facts_.take({.server = listing.hash,
-               .started = listing.started,
+  stamp(member, health, now);
+}
+
+void Watch::stamp(Member& member, Health health, Sec now) {
+  member.stamped = clock_.tick(now);
+  facts_.take({.server = member.own->hash,
+               .started = member.own->started,
                .observer = self_,
-               .seen = clock_.tick(now),
+               .seen = member.stamped,
                .health = health,
                .limit = 0});
 }
 
+Sec Watch::renew_at(const Member& member) const {
+  if (!member.own || member.own->state == Listed::ready) return kNever;
+  return member.stamped.seconds() + facts_.bounds().hard_life / 3;
+}
+
 bool Watch::heard(const Fact& fact, Sec now) {
   const auto stamp = clock_.heard(fact.seen, now);
   if (!stamp) return ++ahead_, false;
@@ -80,6 +96,9 @@
 }
 
 std::optional<Watch::Send> Watch::next(Sec now) {
+  for (auto& member : members_)
+    if (now >= renew_at(member))
+      stamp(member, member.own->state == Listed::gone ? Health::down : Health::draining, now);
   for (std::size_t p = 0; p < peers_.size(); ++p) {
     auto& peer = peers_[p];
     if (!peer.up || facts_.version() <= peer.held) continue;
@@ -98,7 +117,8 @@
 }
 
 Sec Watch::next_due(Sec now) const {
-  Sec due = 1e15;
+  Sec due = kNever;
+  for (const auto& member : members_) due = std::min(due, renew_at(member));
   for (const auto& peer : peers_)
     if (peer.up && facts_.version() > peer.held)
       due = std::min(due, peer.sent > peer.held ? peer.sent_at + bounds_.again : now);
--- a/src/replica/watch.h
+++ b/src/replica/watch.h
@@ -61,7 +61,10 @@
  private:
   struct Member {
     std::optional<Listing> own, told;
+    Stamp stamped;  // of the own fact
   };
+  void stamp(Member& member, Health health, Sec now);
+  Sec renew_at(const Member& member) const;  // when a drain or going is said again; never for the others
   struct Peer {
     bool up = false;
     std::uint64_t held = 0, sent = 0;
