A server gone from a router's list is said to be gone for two minutes, not for ever

A going reaches every router's own list within seconds.

The change: a going is renewed for 120 s from when the list said it (Watch::renew_at); a drain for as long as the list says it, since a drained server may wait for hours.

Test, replica_parts: a peer holds the server down for the first 120 s and ready by 200 s; fails if goings are renewed for ever.

--- a/src/replica/watch.cpp
+++ b/src/replica/watch.cpp
@@ -25,6 +25,7 @@
   const auto before = std::exchange(member.own, listing);
   member.told.reset();  // the list has just told the module this itself
   if (before && before->state == listing.state && before->started == listing.started) return;
+  member.since = now;
   // A start that the facts do not know yet is a restart: the server is cold for every router.
   const auto view = facts_.view(listing.hash, clock_.last());
   const bool restart = listing.started > 0 && (!view || listing.started > view->started);
@@ -46,7 +47,12 @@
 }
 
 Sec Watch::renew_at(const Member& member) const {
+  // A server gone from the list is gone from every router's list within seconds: two minutes of renewals are
+  // plenty, and the table of facts is not asked to carry the fleet's history. A drain lasts as long as it
+  // does.
+  constexpr Sec kGoneFor = 120;
   if (!member.own || member.own->state == Listed::ready) return kNever;
+  if (member.own->state == Listed::gone && member.stamped.seconds() > member.since + kGoneFor) return kNever;
   return member.stamped.seconds() + facts_.bounds().hard_life / 3;
 }
 
--- a/src/replica/watch.h
+++ b/src/replica/watch.h
@@ -62,6 +62,7 @@
   struct Member {
     std::optional<Listing> own, told;
     Stamp stamped;  // of the own fact
+    Sec since = 0;  // of the state that the list says
   };
   void stamp(Member& member, Health health, Sec now);
   Sec renew_at(const Member& member) const;  // when a drain or going is said again; never for the others
--- a/tests/replica_parts.cpp
+++ b/tests/replica_parts.cpp
@@ -309,6 +309,22 @@
   // r1 is gone for good now.
   say("a drain is said again while its observer lives, and ends a longer life after it is gone",
       held_while_alive && after(19) == Health::draining && after(31) == Health::ready);
+  // A server gone from r1's list: said again for two minutes, then left to the others' lists.
+  r1.listed(1, {.hash = 6, .state = Listed::gone, .weight = 1}, now);
+  const auto health_at = [&](Sec t) {
+    return r2.facts().view(6, {static_cast<std::int64_t>(t * 1e6), 0})->health;
+  };
+  bool down_a_while = true;
+  const Sec gone = now;
+  for (; now < gone + 200; now += 0.5) {
+    while (const auto send = r1.next(now)) {
+      for (const auto& f : send->facts) r2.heard(f, now);
+      r1.held(0, send->through);
+    }
+    if (now < gone + 120) down_a_while = down_a_while && health_at(now) == Health::down;
+  }
+  say("a server gone from the list is said to be gone for two minutes, not for ever",
+      down_a_while && health_at(now) == Health::ready);
 }
 
 }  // namespace
