Facts of routers that are not of the fleet are refused, as the header promised

Seen on rereading the change: Facts::Bounds said that a fact of an observer outside the fleet is refused, but only the count of observers was bounded (512); a peer could pass on what any stranger said and fill the table up to that count.

The change: Watch::members_of_fleet takes the observers of the fleet (the router's own name and its peers' from the operator's file, by stable hash); a fact of any other is refused and counted with those too far ahead. The header now says who decides.

--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -113,6 +113,9 @@
       // earlier one.
       watch_ = std::make_unique<replica::Watch>(stable_hash(f.name), static_cast<int>(f.peers.size()),
                                                 replica::Facts::Bounds{}, replica::Watch::Bounds{}, 1.0);
+      std::vector<std::uint64_t> fleet{stable_hash(f.name)};
+      for (const auto& p : f.peers) fleet.push_back(stable_hash(p.name));
+      watch_->members_of_fleet(std::move(fleet));
       list_.share(watch_.get());
       links.watch = watch_.get(), links.after_facts = [this] { list_.tell_facts(); };
     }
--- a/src/replica/facts.h
+++ b/src/replica/facts.h
@@ -41,7 +41,8 @@
   struct Bounds {
     // A fleet's list holds some hundreds of servers; beyond this a new one is refused and counted.
     std::size_t servers = 4096;
-    // The routers of one fleet, its operator's file names them all; a fact of another observer is refused.
+    // The routers of one fleet, its operator's file names them all; past this a new observer is refused. Who
+    // is of the fleet is the host's to say (Watch::members_of_fleet).
     std::size_t observers = 512;
     // Slow, cold and a limit hold this long after they were seen unless seen again: a cold server is warm
     // within 18 to 22 s at the deployments on record, a slow spell lasts 14 to 33 s.
--- a/src/replica/watch.cpp
+++ b/src/replica/watch.cpp
@@ -57,6 +57,7 @@
 }
 
 bool Watch::heard(const Fact& fact, Sec now) {
+  if (!fleet_.empty() && std::ranges::find(fleet_, fact.observer) == fleet_.end()) return ++ahead_, false;
   const auto stamp = clock_.heard(fact.seen, now);
   if (!stamp) return ++ahead_, false;
   return facts_.take(fact) != Facts::Took::refused;
--- a/src/replica/watch.h
+++ b/src/replica/watch.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "brain.h"
@@ -47,6 +48,9 @@
   void listed(int member, const Listing& listing, Sec now);
   // From a peer: a fact it holds, and what it holds of ours. False where the fact was refused.
   bool heard(const Fact& fact, Sec now);
+  // The observers of this fleet: a fact of any other is refused, so that no router passes on what a stranger
+  // said. Empty: any.
+  void members_of_fleet(std::vector<std::uint64_t> observers) { fleet_ = std::move(observers); }
   void up(int peer);  // it may have started anew: all is sent to it again
   void down(int peer);
   void held(int peer, std::uint64_t through);
@@ -79,7 +83,8 @@
   Facts facts_;
   std::vector<Member> members_;
   std::vector<Peer> peers_;
-  std::uint64_t ahead_ = 0;  // facts refused for a stamp too far ahead
+  std::vector<std::uint64_t> fleet_;
+  std::uint64_t ahead_ = 0;  // facts refused for a stamp too far ahead, or of a stranger
 };
 
 }  // namespace walkpaddle::replica
--- a/tests/replica_parts.cpp
+++ b/tests/replica_parts.cpp
@@ -285,6 +285,17 @@
       }));
 }
 
+void stranger_parts() {
+  Watch watch(1, 1, {}, {}, 1.0);
+  watch.members_of_fleet({1, 2});
+  const Fact of = {.server = 5, .observer = 2, .seen = {1'000'000, 0}, .health = Health::draining};
+  Fact stranger = of;
+  stranger.observer = 9;
+  say("a fact of a router that is not of the fleet is refused and counted",
+      watch.heard(of, 1) && !watch.heard(stranger, 1) && watch.refused() == 1 &&
+          watch.facts().all().size() == 1);
+}
+
 void renewal_parts() {
   // r1's bus says box 5 drains; r2 hears it while r1 lives, and for no longer than the longer life after.
   Watch r1(1, 1, {}, {}, 1.0), r2(2, 1, {}, {}, 1.0);
@@ -335,5 +346,6 @@
   bound_parts();
   watch_parts();
   renewal_parts();
+  stranger_parts();
   return all_good ? 0 : 1;
 }
