--- a/src/control/file.cpp
+++ b/src/control/file.cpp
@@ -205,8 +205,8 @@
   if (cfg_size(cfg, "boxes") > 0) {
     auto* s = cfg_getnsec(cfg, "boxes", 0);
     f.tell_boxes = cfg_getbool(s, "tell_purges") == cfg_true;
-    if (f.tell_boxes && !(f.fleet.on && f.fleet.purges))
-      refuse(path, s, "tell_purges without fleet's purges");
+    if (f.tell_boxes && !f.fleet.on) refuse(path, s, "tell_purges without fleet");
+    if (f.tell_boxes && !f.fleet.purges) refuse(path, s, "tell_purges in a fleet with purges = false");
   }
   if (cfg_size(cfg, "dns") > 0) {
     auto* s = cfg_getnsec(cfg, "dns", 0);
