A returner gets its own reference counters back; kept parts stand until later ones are whole

Need: of what routers know of objects nothing outlived a crash: a returner takes each hot object's first txn for its first ever, and keeps nothing of what it fills. The design counts a router's own txns, so it is its own counts that come back, not the fleet's. Seen on the way, with losses in gossip_parts: a keeper that got a part of a later telling dropped the earlier whole one, and had nothing to give (keepers.cpp, told); a datagram of 40 rooms and 40 objects passed an Ethernet frame.

Change: Learnt carries the counters over the threshold, halved in 30 s as the design halves them; keepers hold the 256 highest. What came whole stands until the later is whole; 32 entries a datagram.

--- a/bench/replication.cpp
+++ b/bench/replication.cpp
@@ -2,7 +2,8 @@
 // (lab/fleet): how long a drain that one router's bus tells takes to reach every router, in calm, with
 // datagrams lost, with one router cut off from most; what each router sends in calm; a returner's catch-up
 // after 10 s; false suspicions. A measurement, not a test.
-//   bench_replication [--servers N] [--away S] [--calm S] [ROUTERS ...]     default 10 30
+//   bench_replication [--servers N] [--away S] [--calm S] [--lossy S] [ROUTERS ...]     default 10 30
+// --lossy: so long each with 0, 5 and 20% of the datagrams lost, counting suspicions and deaths of the living
 #include <fmt/core.h>
 #include <signal.h>
 #include <sys/resource.h>
@@ -20,7 +21,7 @@
 
 struct Sizes {
   int routers = 10, servers = 40;
-  Sec away = 10, calm = 10;
+  Sec away = 10, calm = 10, lossy = 0;
 };
 
 struct Play {
@@ -73,6 +74,12 @@
     return raised * static_cast<std::uint64_t>(step);
   }
 
+  int deaths() const {
+    int all = 0;
+    for (int n = 0; n < sizes.routers; ++n) all += times(n, ": dead");
+    return all;
+  }
+
   Task play() {
     auto& s = fleet.scheduler();
     Event e(s);
@@ -108,6 +115,16 @@
     fmt::print("  suspicions raised by all: {} while they started, {} in calm\n", at_start,
                suspicions() - at_start);
 
+    for (const double lost : {0.0, 0.05, 0.2}) {
+      if (sizes.lossy <= 0) break;
+      fleet.links().faults({.lost = lost});
+      const auto raised = suspicions();
+      const int died = deaths();
+      co_await pause(sizes.lossy);
+      fmt::print("  {:.0f}% lost for {:.0f} s: {} suspicions raised by all, {} taken for dead\n", 100 * lost,
+                 sizes.lossy, suspicions() - raised, deaths() - died);
+      fleet.links().faults({});
+    }
     int box = 0;
     s.start(spread("calm", 0, box++));
     co_await done.wait();
@@ -172,6 +189,8 @@
       sizes.away = std::atof(argv[++a]);
     else if (word == "--calm" && more)
       sizes.calm = std::atof(argv[++a]);
+    else if (word == "--lossy" && more)
+      sizes.lossy = std::atof(argv[++a]);
     else
       routers.push_back(std::atoi(word.c_str()));
   }
--- a/bench/returner.cpp
+++ b/bench/returner.cpp
@@ -17,7 +17,12 @@
   auto& s = fleet.scheduler();
   Event e(s);
   fleet.clients(1, rate);
-  co_await e.wait(s.now() + 30);
+  co_await e.wait(s.now() + 20);
+  const auto start = fleet.counts(1);
+  const Sec used = fleet.cpu_of(1);
+  co_await e.wait(s.now() + 10);
+  fmt::print("{}: {:.0f} us of processor a txn in calm\n", what,
+             1e6 * (fleet.cpu_of(1) - used) / std::max(1, fleet.counts(1).answered - start.answered));
   for (const Sec away : {1.0, 10.0}) {
     co_await e.wait(s.now() + 15);
     fleet.kill(1);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -56,6 +56,7 @@
     *worst = {.object = object, .used = now};
     return *worst;
   }
+  const std::vector<Entry>& all() const { return table_; }
   void halve() {
     for (auto& e : table_) e.count /= 2;
   }
@@ -218,6 +219,8 @@
   Learnt learnt() const override {
     Learnt l;
     for (const auto& q : mean_work) l.rules.push_back({q.mean, q.seen});
+    for (const auto& e : counts.all())
+      if (e.count > kThreshold) l.objects.push_back({e.object, e.count});
     l.link = link.cap, l.misses = misses.in_quiet > 0 ? misses.calm : -1;
     for (int m = 0; m < static_cast<int>(members.size()); ++m) {
       const auto& x = members[m];
@@ -241,6 +244,8 @@
       if (!x.crowded) x.cap = std::max(x.cap, cap * std::exp2(-l.age / 60));
     };
     raise(link, l.link);
+    for (const auto& [o, n] : l.objects)  // halved as the design halves them
+      if (auto& c = counts.at(o, now).count; l.age < 300) c = std::max<float>(c, n * std::exp2(-l.age / 30));
     if (l.misses >= 0) misses = {.mean = l.misses, .calm = l.misses, .seen = kMost, .in_quiet = kMost};
     for (const auto& r : l.rooms)
       if (auto& x = member(r.member); x.listed && !is_cold(x)) raise(x.hops, r.hops), raise(x.fills, r.fills);
--- a/src/brain.h
+++ b/src/brain.h
@@ -102,10 +102,15 @@
   };
   std::vector<Rule> rules{};
   std::vector<Unreached> unreached{};
+  struct Heat {
+    std::uint64_t object = 0;
+    double count = 0;  // the design's reference counter, of this router's own txns
+  };
   std::vector<Room> rooms{};
+  std::vector<Heat> objects{};
   double link = 0;     // the same of fills over the location's link; 0: not known
   double misses = -1;  // share of hops to a cache that draw a fill; under 0: not known
-  Sec age = 0;         // of the rooms
+  Sec age = 0;         // of rooms and objects
 };
 
 struct Decision {
--- a/src/fleet/fleet.capnp
+++ b/src/fleet/fleet.capnp
@@ -100,6 +100,7 @@
   rooms @5 :List(Room);
   rules @6 :List(Rule);
   misses @7 :Float32 = -1;   # under 0: not known
+  objects @8 :List(Heat);
 }
 
 struct Room {
@@ -108,6 +109,11 @@
   fills @2 :Float32;
 }
 
+struct Heat {
+  object @0 :UInt64;
+  count @1 :Float32;
+}
+
 struct Rule {
   sending @0 :Float32;
   answers @1 :UInt32;
--- a/src/fleet/keepers.cpp
+++ b/src/fleet/keepers.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace walkpaddle::fleet {
 
@@ -34,19 +35,30 @@
 void Keepers::learnt(Belief belief, Sec now) {
   tell_at_ = now + bounds_.every;
   returned_ = true;  // what was kept from before is past
-  std::erase_if(
-      kept_, [&](const auto& of) { return of.second.empty() || of.second.front().at < now - bounds_.keep; });
+  std::erase_if(kept_, [&](const auto& of) {
+    const auto past = [&](const auto& parts) {
+      return parts.empty() || parts.front().at < now - bounds_.keep;
+    };
+    return past(of.second.whole) && past(of.second.coming);
+  });
   const auto self = members_.self().who;
   auto rooms = std::exchange(belief.rooms, {});
+  auto objects = std::exchange(belief.objects, {});
   rooms.resize(std::min(rooms.size(), bounds_.all));
+  std::ranges::sort(objects, std::greater<>(), &Belief::Heat::count);
+  objects.resize(std::min(objects.size(), bounds_.objects));
   belief.router = self, belief.at = now;
+  const auto each = bounds_.rooms;
   belief.parts =
-      static_cast<int>(std::max<std::size_t>(1, (rooms.size() + bounds_.rooms - 1) / bounds_.rooms));
+      static_cast<int>(std::max<std::size_t>(1, (std::max(rooms.size(), objects.size()) + each - 1) / each));
   for (belief.part = 0; belief.part < belief.parts; ++belief.part) {
-    const auto from = std::min(rooms.size(), static_cast<std::size_t>(belief.part) * bounds_.rooms);
-    const auto to = std::min(rooms.size(), from + bounds_.rooms);
-    belief.rooms.assign(rooms.begin() + static_cast<std::ptrdiff_t>(from),
-                        rooms.begin() + static_cast<std::ptrdiff_t>(to));
+    const auto cut = [&](const auto& all, auto& to) {
+      const auto from = std::min(all.size(), static_cast<std::size_t>(belief.part) * each);
+      const auto end = std::min(all.size(), from + each);
+      to.assign(all.begin() + static_cast<std::ptrdiff_t>(from),
+                all.begin() + static_cast<std::ptrdiff_t>(end));
+    };
+    cut(rooms, belief.rooms), cut(objects, belief.objects);
     const auto part = std::make_shared<const Belief>(belief);
     for (const int p : keepers_of(self)) to_send_.push_back({p, part});
     belief.rules.clear();
@@ -57,23 +69,29 @@
   return !parts.empty() && static_cast<int>(parts.size()) == parts.front().parts;
 }
 
-// Parts of one time, each once; those of an earlier time give way.
+// Parts of one time, each once; those of an earlier time give way, but what came whole stands until the later
+// is whole too.
 void Keepers::told(std::uint64_t from, Belief belief, Sec now) {
   const auto most = static_cast<int>((bounds_.all + bounds_.rooms - 1) / bounds_.rooms);
   if (belief.parts < 1 || belief.parts > most || belief.part < 0 || belief.part >= belief.parts ||
-      belief.rooms.size() > bounds_.rooms || belief.at > now + 1)
+      belief.rooms.size() > bounds_.rooms || belief.objects.size() > bounds_.rooms || belief.at > now + 1)
     return;
   const auto self = members_.self().who;
   if (belief.router != self && belief.router != from) return;  // nobody speaks for a third
-  auto& parts = belief.router == self ? own_ : kept_[from];
+  auto& parts = belief.router == self ? own_ : kept_[from].coming;
   if (!parts.empty() && belief.at < parts.front().at) return;
   if (!parts.empty() && (belief.at > parts.front().at || belief.parts != parts.front().parts)) parts.clear();
   if (std::ranges::find(parts, belief.part, &Belief::part) != parts.end()) return;
   parts.push_back(std::move(belief));
-  if (&parts != &own_ || !whole(own_)) return;
+  if (!whole(parts)) return;
+  if (&parts != &own_) {
+    kept_[from].whole = std::exchange(parts, {});
+    return;
+  }
   Belief all{.router = self, .at = own_.front().at};
   for (auto& part : std::exchange(own_, {})) {
     all.rooms.insert(all.rooms.end(), part.rooms.begin(), part.rooms.end());
+    all.objects.insert(all.objects.end(), part.objects.begin(), part.objects.end());
     if (part.part == 0) all.link = part.link, all.misses = part.misses, all.rules = part.rules;
   }
   take_back(std::move(all));
@@ -89,12 +107,12 @@
 
 void Keepers::asked(int from) {
   const auto it = kept_.find(members_.peers()[static_cast<std::size_t>(from)].name);
-  if (it == kept_.end() || !whole(it->second) || to_send_.size() > kMostToSend) return;
-  for (const auto& part : it->second) to_send_.push_back({from, std::make_shared<const Belief>(part)});
+  if (it == kept_.end() || to_send_.size() > kMostToSend) return;
+  for (const auto& part : it->second.whole) to_send_.push_back({from, std::make_shared<const Belief>(part)});
 }
 
-// A start asks until its time for that is over: one keeper more than are told, since others may be alive now
-// than then; the newest counts.
+// A start asks until its time for that is over, as more of the others turn out to be alive; the newest
+// counts.
 std::optional<Keepers::Send> Keepers::next(Sec now) {
   if (!returned_ && now >= started_ + bounds_.ask_for) returned_ = true;
   if (!returned_ && now >= ask_at_) {
--- a/src/fleet/keepers.h
+++ b/src/fleet/keepers.h
@@ -28,11 +28,17 @@
     int answers = 0;
     bool operator==(const Rule&) const = default;
   };
+  struct Heat {
+    std::uint64_t object = 0;
+    double count = 0;
+    bool operator==(const Heat&) const = default;
+  };
   std::uint64_t router = 0;
   Sec at = 0;
   int part = 0, parts = 1;
   double link = 0, misses = -1;
   std::vector<Room> rooms{};
+  std::vector<Heat> objects{};
   std::vector<Rule> rules{};  // with the first part, in the order of the settings
 };
 
@@ -42,7 +48,8 @@
     int keepers = 3;                    // two may be gone
     Sec every = 10;                     // a sixth of the minute in which limits count half
     Sec ask_again = 0.25, ask_for = 5;  // of the start; past it the module has learnt by itself
-    std::size_t rooms = 64;             // of a datagram: 16 bytes each
+    std::size_t rooms = 32;             // of a datagram, and as many objects: 16 bytes each
+    std::size_t objects = 256;          // of one router, those counted highest
     std::size_t all = 4096;             // of one router
     Sec keep = 300;                     // five halvings: nothing worth sending
   };
@@ -74,8 +81,11 @@
   const Members& members_;
   const Bounds bounds_;
   const Sec started_;
-  std::map<std::uint64_t, std::vector<Belief>> kept_;  // by router: its parts
-  std::vector<Belief> own_;                            // parts of what comes back
+  struct Kept {
+    std::vector<Belief> whole, coming;  // parts: the last that came whole, and a later one until it is
+  };
+  std::map<std::uint64_t, Kept> kept_;  // by router
+  std::vector<Belief> own_;             // parts of what comes back
   std::optional<Belief> back_;
   std::deque<Send> to_send_;
   Sec tell_at_ = 0, ask_at_, newest_ = 0;
--- a/src/fleet/share.cpp
+++ b/src/fleet/share.cpp
@@ -107,8 +107,8 @@
 void Share::believe() {
   const Sec now = scheduler_.now();
   if (const auto back = keepers_.take_returned()) {
-    log_("learnt", "{:.1f} s old, from before this start: limits of {} servers", now - back->at,
-         back->rooms.size());
+    log_("learnt", "{:.1f} s old, from before this start: limits of {} servers, counts of {} objects",
+         now - back->at, back->rooms.size(), back->objects.size());
     setup_.take_learnt(*back);
   }
   if (!keepers_.wanted(now)) return;
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -130,6 +130,7 @@
                 .misses = b.getMisses() < 0 ? -1 : std::min(1.0, bounded(b.getMisses()))};
   for (const auto r : b.getRooms())
     belief.rooms.push_back({r.getServer(), bounded(r.getHops()), bounded(r.getFills())});
+  for (const auto o : b.getObjects()) belief.objects.push_back({o.getObject(), bounded(o.getCount())});
   for (const auto r : b.getRules())
     belief.rules.push_back(
         {bounded(r.getSending()), static_cast<int>(std::min<std::uint32_t>(r.getAnswers(), 1000000))});
@@ -149,6 +150,11 @@
     rooms[n].setHops(static_cast<float>(belief.rooms[n].hops));
     rooms[n].setFills(static_cast<float>(belief.rooms[n].fills));
   }
+  auto objects = b.initObjects(static_cast<unsigned>(belief.objects.size()));
+  for (unsigned n = 0; n < belief.objects.size(); ++n) {
+    objects[n].setObject(belief.objects[n].object);
+    objects[n].setCount(static_cast<float>(belief.objects[n].count));
+  }
   auto rules = b.initRules(static_cast<unsigned>(belief.rules.size()));
   for (unsigned n = 0; n < belief.rules.size(); ++n) {
     rules[n].setSending(static_cast<float>(belief.rules[n].sending));
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -142,12 +142,14 @@
   const auto learnt = desk_.module().learnt();
   fleet::Belief b{.link = learnt.link, .misses = learnt.misses};
   for (const auto& r : learnt.rooms) b.rooms.push_back({stable_hash(caches_.id(r.member)), r.hops, r.fills});
+  for (const auto& o : learnt.objects) b.objects.push_back({o.object, o.count});
   for (const auto& r : learnt.rules) b.rules.push_back({r.sending, r.answers});
   return b;
 }
 
 void Router::take_back(const fleet::Belief& b) {
   Learnt learnt{.link = b.link, .misses = b.misses, .age = std::max(0.0, scheduler_.now() - b.at)};
+  for (const auto& o : b.objects) learnt.objects.push_back({o.object, o.count});
   for (const auto& r : b.rules) learnt.rules.push_back({r.sending, r.answers});
   std::map<std::uint64_t, int> members;
   for (int m = 0; m < caches_.members(); ++m) members[stable_hash(caches_.id(m))] = m;
--- a/tests/gossip_parts.cpp
+++ b/tests/gossip_parts.cpp
@@ -92,6 +92,7 @@
     Belief b{.link = 10.0 + n, .misses = 0.25, .rules = {{0.5, 30}}};
     for (int server = 0; server < 200; ++server)
       b.rooms.push_back({kServer + static_cast<std::uint64_t>(server), 20.0 + n, 5.0 + server});
+    for (int o = 0; o < 1000; ++o) b.objects.push_back({static_cast<std::uint64_t>(o), 2.0 + o});
     return b;
   }
 
@@ -411,6 +412,8 @@
   bool own = back && back->router == World::Router::name(4) && back->link == wanted.link &&
              back->misses == wanted.misses && back->rules == wanted.rules && back->rooms.size() == 200 &&
              w.now - back->at < 20;
+  own = own && back->objects.size() == 256 &&
+        std::ranges::find(back->objects, Belief::Heat{999, 1001.0}) != back->objects.end();
   for (const auto& room : wanted.rooms)
     own = own && std::ranges::find(back->rooms, room) != back->rooms.end();
   say("one that returns has its own back, and its age, in two seconds with losses", own);
--- a/tests/learnt_parts.cpp
+++ b/tests/learnt_parts.cpp
@@ -125,8 +125,12 @@
   return seen;
 }
 
-// Of 400 txns at one moment, how many hops a router sends out at once to two warm boxes.
-int at_once(const Learnt* learnt) {
+// Of 400 txns at one moment, how many hops a router sends out at once to two warm boxes, and how many of
+// these keep what they fill.
+struct AtOnce {
+  int hops = 0, kept = 0;
+};
+AtOnce at_once(const Learnt* learnt) {
   auto b = make_brain(1);
   b->set_place({0, 1, 1});
   b->set_roles({8, 9, true});
@@ -144,9 +148,10 @@
   if (learnt != nullptr) b->set_learnt(*learnt);
   for (int t = 0; t < 400; ++t)
     b->txn_taken(t, 0, stable_hash(std::to_string(t)), 0, 0, 0, kStart + 5, false);
-  int hops = 0;
-  while (const auto d = b->next()) hops += d->kind == Decision::Kind::deliver;
-  return hops;
+  AtOnce out;
+  while (const auto d = b->next())
+    if (d->kind == Decision::Kind::deliver) ++out.hops, out.kept += d->rank > 0;
+  return out;
 }
 
 void print(const char* name, const Seen& s) {
@@ -205,12 +210,17 @@
 
   Learnt rooms{
       .rooms = {{0, 60, 40}, {1, 60, 40}, {2, 60, 40}, {3, 60, 40}, {4, 60, 40}}, .link = 60, .misses = 0.1};
-  std::printf("hops at once: nothing learnt %d", at_once(nullptr));
-  std::printf(", limits learnt %d", at_once(&rooms));
+  for (int o = 0; o < 400; ++o) rooms.objects.push_back({stable_hash(std::to_string(o)), 1.5});
+  const auto print_once = [](const char* name, const Learnt* learnt) {
+    const auto s = at_once(learnt);
+    std::printf("%s: %d hops at once, %d of them keep what they fill\n", name, s.hops, s.kept);
+  };
+  print_once("nothing learnt", nullptr);
+  print_once("limits and counts learnt", &rooms);
   rooms.age = 60;
-  std::printf(", a minute old %d", at_once(&rooms));
+  print_once("a minute old", &rooms);
   rooms.age = 600;
-  std::printf(", ten minutes old %d\n", at_once(&rooms));
+  print_once("ten minutes old", &rooms);
   const Learnt wild{
       .rooms = {{0, 1e6, 1e6}, {1, 1e6, 1e6}, {2, 1e6, 1e6}, {7, 1e6, 1e6}}, .link = 1e6, .misses = 0};
   print("limits without end", first_seconds(20, &wild));
