--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -70,7 +70,8 @@
   for (auto& s : boxes_) s->know(all);
   for (int n = 0; n < setup_.objects; ++n) boxes_.back()->change(object_name(n), {});
   routers_.resize(static_cast<std::size_t>(setup_.routers));
-  int next = 20000 + static_cast<int>(chance_() % 10000);
+  // By process too: two laboratories side by side must not look for ports in the same place.
+  int next = 20000 + (static_cast<int>(chance_() % 10000) + 97 * ::getpid()) % 10000;
   for (auto& r : routers_) {
     r.port = free_port(next);
     r.fleet_port = free_port(next);
--- a/src/control/operators.cpp
+++ b/src/control/operators.cpp
@@ -91,7 +91,6 @@
 
 // Who is of the fleet, and what it knows of the cache servers that a list may not tell: from whom, how old.
 std::string Operators::fleet_answer() const {
-  constexpr std::string_view kStates[] = {"alive", "suspected", "dead", "not heard yet"};
   constexpr std::string_view kHealths[] = {"ready", "slow", "cold", "draining", "gone"};
   constexpr std::size_t kMostFacts = 500;  // of a reply; the count tells that there are more
   const Sec now = scheduler_.now();
@@ -100,7 +99,7 @@
   const auto& peers = share.members().peers();
   for (std::size_t p = 0; p < peers.size(); ++p)
     members.push_back({{"name", names_.peers[p]},
-                       {"state", kStates[static_cast<int>(peers[p].state)]},
+                       {"state", fleet::Members::kNames[static_cast<int>(peers[p].state)]},
                        {"for_s", now - peers[p].since},
                        {"heard_s_ago", peers[p].heard > 0 ? json(now - peers[p].heard) : json(nullptr)}});
   std::map<std::uint64_t, std::string> servers;
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <optional>
 #include <random>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,7 @@
 class Members {
  public:
   enum class State : std::uint8_t { alive, suspect, dead, unheard };
+  static constexpr std::string_view kNames[] = {"alive", "suspected", "dead", "not heard yet"};
   struct Record {
     std::uint64_t who = 0, incarnation = 0;
     State state = State::alive;  // never unheard
--- a/src/fleet/share.cpp
+++ b/src/fleet/share.cpp
@@ -25,7 +25,6 @@
 std::string key_of(const replica::Watch::Key& k) { return numbers_text("f", {k.server, k.observer}); }
 
 constexpr std::string_view kLearnt = "l";
-constexpr std::string_view kStates[] = {"alive", "suspected", "dead", "not heard yet"};
 
 // Chance of its own for each router, also where a platform hands all the same seed.
 std::uint32_t seed_of(const Share::Setup& s) {
@@ -89,7 +88,10 @@
 // What changed since the last look; a look every two seconds: a crash costs what the peers know anyway.
 void Share::keep() {
   auto& store = *setup_.store;
-  if (store.failed()) return;
+  if (store.failed()) {
+    if (!std::exchange(said_failed_, true)) log_("store", "{}: facts of servers last no more", store.why());
+    return;
+  }
   std::map<replica::Watch::Key, replica::Stamp> now;
   for (const auto& f : watch_.facts().all()) {
     const replica::Watch::Key key{f.server, f.observer};
@@ -123,7 +125,7 @@
   for (std::size_t p = 0; p < said_.size(); ++p) {
     const auto state = members_.peers()[p].state;
     if (std::exchange(said_[p], state) == state) continue;
-    log_("member", "{}: {}", setup_.peers[p].name, kStates[static_cast<int>(state)]);
+    log_("member", "{}: {}", setup_.peers[p].name, Members::kNames[static_cast<int>(state)]);
   }
   if (const auto caught = gossip_.take_caught())
     log_("caught", "caught up in {:.3f} s, {} facts from {} routers", caught->took, caught->facts,
--- a/src/fleet/share.h
+++ b/src/fleet/share.h
@@ -8,16 +8,14 @@
 #include <vector>
 
 #include "fleet/datagrams.h"
+#include "fleet/links.h"
 #include "store/store.h"
 
 namespace walkpaddle::fleet {
 
 class Share {
  public:
-  struct Peer {
-    std::string name;
-    Address address;
-  };
+  using Peer = Links::Peer;
   struct Setup {
     std::string name;
     Address listen;
@@ -61,6 +59,7 @@
   std::map<replica::Watch::Key, replica::Stamp> stored_;
   std::vector<Members::State> said_;
   Sec look_at_ = 0, keep_at_ = 0;
+  bool said_failed_ = false;
 };
 
 }  // namespace walkpaddle::fleet
