--- a/src/control/operators.cpp
+++ b/src/control/operators.cpp
@@ -163,7 +163,9 @@
       return share_ != nullptr ? fleet_answer()
                                : refused("this router shares nothing: share is not in its file").dump();
     const auto* sync = purges_.sync();
-    if (sync == nullptr) return refused("this router has no fleet: section fleet is not in its file").dump();
+    if (sync == nullptr)
+      return refused("no purges go between routers here: fleet is not in its file, or says purges = false")
+          .dump();
     if (what == "purge") {
       const auto kind = fleet::kind_of(asked.at("kind").get<std::string>());
       auto name = asked.value("what", std::string());
