The laboratory loses a silent bus and a count that no play used

Cause: reread of the change; Fleet::hush and Switch::datagrams had no caller, so no test would have noticed them break. Change: both gone.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -189,7 +189,7 @@
   auto& bus = routers_[static_cast<std::size_t>(n)].bus;
   bus.events.push_back(big_end(9 + payload.size(), 4) + big_end(bus.events.size() + 2, 8) +
                        big_end(static_cast<unsigned>(kind), 1) + payload);
-  if (bus.stream && !bus.silent) bus.stream->write(bus.events.back());
+  if (bus.stream) bus.stream->write(bus.events.back());
 }
 
 std::string Fleet::word_of(int n) const {
@@ -242,7 +242,7 @@
       }
       continue;
     }
-    if (bus.stream && !bus.silent) {
+    if (bus.stream) {
       while (bus.stream->read() == Stream::Came::bytes) bus.stream->consume(bus.stream->in().size());
       bus.stream->write(big_end(9, 4) + big_end(bus.events.size() + 1, 8) + big_end(0, 1));
     }
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -1,7 +1,7 @@
 // The laboratory's fleet: routers as processes of `walkpaddle` on loopback, among stand-in cache servers, a
 // parent and an origin, each router with an event bus of its own, all datagrams between routers through a
 // switch that loses, delays, doubles and cuts; clients at every router. Faults on call: a cut link, a stalled
-// router (SIGSTOP, SIGCONT), a crash (SIGKILL) and a start again, a bus that falls silent. All in one process
+// router (SIGSTOP, SIGCONT), a crash (SIGKILL) and a start again. All in one process
 // on the project's scheduler, bounded in count and time; what it started it ends.
 #pragma once
 
@@ -49,7 +49,6 @@
   // What one router's bus says: a box drains, is ready, is gone, or started anew at `started` (Unix time).
   enum class Says { ready, draining, gone };
   void says(int router, int box, Says state, Sec started = 0);
-  void hush(int router, bool silent) { routers_[static_cast<std::size_t>(router)].bus.silent = silent; }
 
   int served(int box) const { return boxes_[static_cast<std::size_t>(box)]->counts().served; }
   void clients(int router, double rate);  // more of them
@@ -66,7 +65,6 @@
     int port = 0;
     std::unique_ptr<Stream> stream;
     std::vector<std::string> events;  // frames from number 2 on: a router asks from the last it holds
-    bool silent = false;
   };
   struct Router {
     int port = 0, fleet_port = 0, peer_port = 0;  // peer_port: of the switch, for it
--- a/lab/switch.cpp
+++ b/lab/switch.cpp
@@ -104,7 +104,7 @@
   a.sin_addr.s_addr = htonl(kLoopback), a.sin_port = htons(static_cast<std::uint16_t>(r.port));
   if (::sendto(r.socket.fd(), bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&a),
                sizeof a) > 0)
-    passed_ += bytes.size(), ++datagrams_;
+    passed_ += bytes.size();
 }
 
 Task Switch::deliver_late() {
--- a/lab/switch.h
+++ b/lab/switch.h
@@ -34,7 +34,6 @@
   void faults(const Faults& faults);
   void cut(int from, int to, Sec until);            // one way, until this Unix time
   std::uint64_t passed() const { return passed_; }  // bytes
-  std::uint64_t datagrams() const { return datagrams_; }
 
  private:
   struct Router {
@@ -65,7 +64,7 @@
   Event due_;
   Fd ending_;
   std::unique_ptr<Listener> end_;
-  std::atomic<std::uint64_t> passed_ = 0, datagrams_ = 0;
+  std::atomic<std::uint64_t> passed_ = 0;
   std::thread thread_;
 };
 
