Names with spaces or commas in settings are read as they are, and found

Seen on reading the configuration for other customers' settings: flatten() put _ for spaces and commas in every string (config.cpp plain), so a class named 'desk note' was refused as unknown on each txn, and a list whose member stood in 'north wing' ended the start as Malformed, as place_of compared the changed name with the one that came.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -13,9 +13,12 @@
 
 std::string plain(const json& value) {
   if (!value.is_string()) return value.is_null() ? "-" : value.dump();
-  auto text = value.get<std::string>();
-  std::replace_if(
-      text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  return value.get<std::string>();
+}
+
+// As it stands in a list, whose parts commas divide.
+std::string in_list(std::string text) {
+  std::ranges::replace(text, ',', '_');
   return text;
 }
 
@@ -31,7 +34,7 @@
     std::string joined;
     for (const auto& item : value) {
       if (!joined.empty()) joined += ',';
-      joined += plain(item);
+      joined += in_list(plain(item));
     }
     into.put(path, joined);
   } else {
@@ -42,7 +45,7 @@
 int place_of(std::string_view name, const Settings& settings, const std::string& list) {
   auto rest = settings.text(list);
   for (int n = 0; !rest.empty(); ++n)
-    if (cut(rest, ',') == name) return n;
+    if (cut(rest, ',') == in_list(std::string(name))) return n;
   throw Malformed("'" + std::string(name) + "' is not in the settings' " + list);
 }
 
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -167,6 +167,9 @@
     const auto c = net::parse_config(text);
     std::printf(" %s on %s, first class %s\n", c.name.c_str(), text_of(c.listen).c_str(),
                 net::rule_names(c.settings).front().name.c_str());
+    PrintedEvents events;
+    if (c.known != "{}") net::hand_known(c.known, c.settings, events);
+    std::printf("%s", events.out.c_str());
   } catch (const Malformed& e) {
     std::printf(" malformed: %s\n", std::string(e.what()).substr(0, 140).c_str());
   }
