--- /dev/null
+++ b/tests/cold_sum.cpp
@@ -0,0 +1,227 @@
+// What hundreds of routers send a cold cache server in sum, each by itself: never past what its settings
+// allow it, N in a window, by more than chance, 2 roots of N and 2.
+#define CATCH_CONFIG_MAIN
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include "brain.h"
+
+using namespace walkpaddle;
+
+namespace {
+
+struct Day {
+  int routers = 20;
+  unsigned seed = 1;
+  double uneven = 1;  // a tenth of the routers see so many times the others' traffic
+  Sec comes_up = 0;   // connections to the cold one come up late, by up to this
+  ColdStart cold{0.25, 4, 12, 1};
+  double cores = 5, load = 0.55;
+  Sec work = 0.1;                 // of a txn, in the mean
+  int caches = 10, replaced = 1;  // so many of them, by as many cold ones
+  bool anew = false;              // seven in ten routers start when these do
+};
+
+// Routers, caches, a parent and an origin; at 10 s some caches go and as many cold ones come. Gives how far
+// the sum of sends to one of these was past its bound at worst, in requests.
+class World {
+ public:
+  explicit World(const Day& day) : day_(day), chance_(day.seed) {}
+
+  double worst() {
+    brains_.resize(static_cast<std::size_t>(day_.routers));
+    txns_.resize(brains_.size());
+    for (int r = 0; r < day_.routers; ++r) start(r), arrive(r);
+    constexpr Sec kNotice = 0.5, kEnd = 30;
+    at(kStart + kNotice, [this] {
+      for (int r = 0; r < day_.routers; ++r) {
+        if (day_.anew && r % 10 < 7) start(r);
+        auto& b = *brains_[static_cast<std::size_t>(r)];
+        b.clock(now_);
+        b.list_begin(false);
+        for (int m = 0; m < day_.replaced; ++m) {
+          b.list_member(m, hash(m), 0, 1, 0, Listed::gone, 1, 0);
+          b.list_member(kCold + m, hash(kCold + m), 0, 1, 0, Listed::ready, 1, kStart);
+        }
+        b.list_end();
+        pull(r);
+      }
+    });
+    while (!events_.empty() && events_.top().at < kEnd) {
+      auto e = events_.top();
+      events_.pop();
+      now_ = e.at;
+      e.call();
+    }
+    double worst = -1e9;
+    for (int m = 0; m < day_.replaced; ++m) worst = std::max(worst, worst_of(sends_[kCold + m]));
+    return worst;
+  }
+  std::size_t sends() const {
+    std::size_t all = 0;
+    for (const auto& [m, times] : sends_) all += times.size();
+    return all;
+  }
+
+ private:
+  static constexpr int kCold = 50;
+  static constexpr Sec kStart = 10;
+
+  double worst_of(std::vector<Sec> times) const {
+    std::sort(times.begin(), times.end());
+    double worst = -1e9;
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+      while (times[first] < times[last] - day_.cold.window) ++first;
+      const double warmed = std::min(1.0, (times[last] - kStart) / day_.cold.warm_after);
+      if (warmed >= 1) break;
+      const double part = day_.cold.from + (1 - day_.cold.from) * warmed;
+      const double n = day_.cold.multiple * part * day_.cores / day_.work * day_.cold.window;
+      worst = std::max(worst, static_cast<double>(last - first + 1) - (n + 2 * std::sqrt(n) + 2));
+    }
+    return worst;
+  }
+
+  void start(int r) {
+    constexpr double kPace = 1000;
+    auto& brain = brains_[static_cast<std::size_t>(r)];
+    ++starts_[r];
+    brain = make_brain(day_.seed * 1000 + static_cast<unsigned>(r));
+    txns_[static_cast<std::size_t>(r)].clear();
+    auto& b = *brain;
+    b.set_place({0, day_.routers, day_.routers});
+    b.set_roles({8, 9, true});
+    b.add_rule({.sla_time = 0.4, .sla_stretch = 2, .time_limit = 5});
+    b.set_hopping({4, true});
+    b.set_filling({Siblings::none, true, Notes::all, kPace});
+    b.set_cold(day_.cold, {0.1, 2, 20, 1});
+    b.set_weights(false);
+    b.set_clients({false, 0.5});
+    b.set_list(false);
+    b.clock(now_);
+    b.list_begin(true);
+    for (int m = 0; m < day_.caches; ++m) b.list_member(m, hash(m), 0, 1, 0, Listed::ready, 1, 0);
+    b.list_member(90, hash(90), 1, 8, 0, Listed::ready, 1, 0);
+    b.list_member(91, hash(91), 1, 9, 0, Listed::ready, 1, 0);
+    b.list_end();
+    pull(r);
+  }
+
+  static std::uint64_t hash(int m) { return 0x9e3779b97f4a7c15u * static_cast<unsigned>(m + 1); }
+  struct At {
+    Sec at;
+    std::function<void()> call;
+    bool operator<(const At& other) const { return at > other.at; }
+  };
+  struct Open {
+    bool live = false;
+    int hop = -1;
+    Sec work = 0;
+  };
+  void at(Sec when, std::function<void()> call) { events_.push({when, std::move(call)}); }
+
+  void arrive(int r) {
+    const bool busy = r % 10 == 0;
+    const double share = (busy ? day_.uneven : 1) / (0.9 + 0.1 * day_.uneven) / day_.routers;
+    const double rate = day_.load * day_.caches * day_.cores / day_.work * share;
+    at(now_ + std::exponential_distribution<>(rate)(chance_), [this, r] {
+      auto& all = txns_[static_cast<std::size_t>(r)];
+      int i = 0;
+      while (i < static_cast<int>(all.size()) && all[static_cast<std::size_t>(i)].live) ++i;
+      if (i == static_cast<int>(all.size())) all.emplace_back();
+      all[static_cast<std::size_t>(i)] = {true, -1, std::exponential_distribution<>(1 / day_.work)(chance_)};
+      auto& b = *brains_[static_cast<std::size_t>(r)];
+      b.clock(now_);
+      const auto object = static_cast<std::uint64_t>(std::pow(2000, uniform_(chance_)));
+      b.txn_taken(i, 0, hash(static_cast<int>(object)), 0, 1, 0, now_ + 5, false);
+      pull(r);
+      arrive(r);
+    });
+  }
+
+  void pull(int r) {
+    auto& b = *brains_[static_cast<std::size_t>(r)];
+    while (const auto d = b.next()) {
+      using Kind = Decision::Kind;
+      if (d->kind == Kind::wake)
+        at(d->time, [this, r] {
+          auto& woken = *brains_[static_cast<std::size_t>(r)];
+          woken.clock(now_);
+          woken.woken();
+          pull(r);
+        });
+      if (d->kind == Kind::reject || d->kind == Kind::abort)
+        txns_[static_cast<std::size_t>(r)][static_cast<std::size_t>(d->txn)].live = false;
+      if (d->kind == Kind::call_off) end(r, d->txn, d->hop, Verdict::called_off, Note::none, 0.01, 0.01);
+      if (d->kind == Kind::deliver) deliver(r, *d);
+    }
+  }
+
+  void deliver(int r, const Decision& d) {
+    auto& t = txns_[static_cast<std::size_t>(r)][static_cast<std::size_t>(d.txn)];
+    ++t.hop;
+    Sec late = 0;
+    for (const int m : {d.member, d.source == d.member ? -1 : d.source})
+      if (m >= kCold && m < kCold + day_.replaced) {
+        late = day_.comes_up * uniform_(chance_);
+        sends_[m].push_back(now_ + late);
+      }
+    const bool hit = uniform_(chance_) < 0.7;
+    const Sec took = late + 0.01 + t.work + (hit ? 0 : 0.05);
+    end(r, d.txn, t.hop, Verdict::completed, hit ? Note::hit : Note::by_origin, took, took);
+  }
+
+  void end(int r, int i, int hop, Verdict v, Note note, Sec after, Sec took) {
+    at(now_ + after, [=, this, of = starts_[r]] {
+      if (starts_[r] != of) return;  // of the router before
+      auto& t = txns_[static_cast<std::size_t>(r)][static_cast<std::size_t>(i)];
+      if (!t.live || t.hop != hop) return;
+      const bool over = v == Verdict::completed;
+      if (over) t.live = false;
+      auto& b = *brains_[static_cast<std::size_t>(r)];
+      b.clock(now_);
+      b.hop_ended(i, hop, v, note, took, 0.01, t.work, over);
+      pull(r);
+    });
+  }
+
+  const Day day_;
+  std::mt19937 chance_;
+  std::uniform_real_distribution<> uniform_{0, 1};
+  Sec now_ = 0;
+  std::priority_queue<At> events_;
+  std::vector<std::unique_ptr<Brain>> brains_;
+  std::vector<std::vector<Open>> txns_;
+  std::map<int, int> starts_;  // by router
+  std::map<int, std::vector<Sec>> sends_;  // by cold server
+};
+
+}  // namespace
+
+TEST_CASE("given routers that each know their own traffic, then cold caches bear what all send them in sum") {
+  const int routers = GENERATE(20, 300);
+  const double uneven = GENERATE(1.0, 4.0);
+  const Sec late = GENERATE(0.0, 1.0);
+  const int replaced = GENERATE(1, 6);
+  const bool anew = GENERATE(false, true);
+  const auto cold = GENERATE(ColdStart{0.25, 4, 12, 1}, ColdStart{0.1, 2, 8, 1}, ColdStart{0.16, 3, 8, 3});
+  World w({.routers = routers,
+           .seed = 7,
+           .uneven = uneven,
+           .comes_up = late,
+           .cold = cold,
+           .replaced = replaced,
+           .anew = anew});
+  const double worst = w.worst();
+  INFO(routers << " routers, uneven " << uneven << ", late by " << late << ", " << replaced << " replaced, "
+               << (anew ? "started anew, " : "") << cold.from << " of " << cold.multiple << ": " << w.sends()
+               << " sends, at worst " << worst << " past the bound");
+  CHECK(worst <= 0);
+  CHECK(w.sends() > 50);  // they are used all the same
+}
