Only a txn with an effect keeps its further hops off a connection that held one

A copy of an answer can make an effect happen twice only where the txn has one; for others it ends a hop too soon, which costs less than the dial.

--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -223,16 +223,20 @@
   if (hop.over_ == nullptr) return;
   auto& c = *hop.over_;
   if (hop.state_ == Hop::State::written) cancel(hop);
-  never_again(c, hop.what_.id);
+  over_at(c, hop, hop.state_ == Hop::State::written);
   --c.live;
   hop.over_ = nullptr;
   if (c.silent && c.live == 0) c.stream.close();
 }
 
-// Guards against an answer that comes late, or twice, and is taken for that of the txn's next hop: what is
-// over on a connection never goes over it again.
-void Caches::never_again(Connection& c, std::uint64_t id) {
+// Guards against an answer that comes late, or twice, and is taken for that of the txn's next hop: where one
+// may come, or would make an effect happen twice, no other hop of the txn goes over this connection. Others
+// may: a dial and a place at the peer for each cost more than a hop that ends too soon.
+void Caches::over_at(Connection& c, const Hop& hop, bool may_answer) {
   constexpr std::size_t kCrossing = 64;  // more than can be over in the time of one way and back
+  const auto id = hop.what_.id;
+  c.open.erase(id);
+  if (!may_answer && !hop.what_.effect) return;
   c.open[id] = nullptr;
   c.over.push_back(id);
   if (c.over.size() <= kCrossing) return;
@@ -443,7 +447,7 @@
   auto* hop = it->second;
   c.used = scheduler_.now();
   if (hop == nullptr) return;
-  never_again(c, id);
+  over_at(c, *hop, false);
   --c.live;
   hop->over_ = nullptr;
   auto& quickest = peer(hop->what_.member).quickest;
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -43,6 +43,7 @@
     Sec until = 0;                   // its time-out, on the clock
     Sec by = kNoTime;                // begins by then, or not at all
     bool last = false;               // no other hop can follow its time-out
+    bool effect = false;             // its txn may not simply run again
   };
   Hop(Scheduler& scheduler, Caches& caches, What what);
   Hop(const Hop&) = delete;
@@ -109,7 +110,7 @@
   void give_up(Hop& hop);
   void cancel(Hop& hop);
   bool take_back(Hop& hop);
-  void never_again(Connection& c, std::uint64_t id);
+  void over_at(Connection& c, const Hop& hop, bool may_answer);
   void write(Hop& hop, Connection& over);
   void place(Peer& at);
   void dial_for(int member);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -217,7 +217,7 @@
   const auto rule = std::ranges::find(rules_, words[2], &RuleName::name);
   if (rule == rules_.end()) bad("class", words[2]);
   o.rule = static_cast<int>(rule - rules_.begin());
-  o.uncacheable = rule->uncacheable;
+  o.uncacheable = rule->uncacheable, o.effect = rule->effect;
   const auto fields = words[3];
   const auto needed = [&](std::string_view name) {
     const auto value = field(fields, name);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -47,7 +47,7 @@
   std::uint64_t id = 0;
   int rule = 0, part = 0;
   std::uint32_t group = 0;
-  bool uncacheable = false;
+  bool uncacheable = false, effect = false;
   Sec expires = 0;
   OpenId open;
 };
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -120,7 +120,8 @@
   for (int n = 0; n < settings.whole("categories.count"); ++n) {
     const auto at = "categories." + std::to_string(n) + ".";
     names.push_back({std::string(settings.text(at + "name")), settings.text(at + "effect") == "guarded",
-                     settings.item("specifics.pass_on", static_cast<std::size_t>(n)) == "true"});
+                     settings.item("specifics.pass_on", static_cast<std::size_t>(n)) == "true",
+                     settings.text(at + "effect") != "free"});
   }
   return names;
 }
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -32,6 +32,7 @@
   std::string name;
   bool keyed = false;
   bool uncacheable = false;
+  bool effect = false;  // may not simply run again
 };
 std::vector<RuleName> rule_names(const Settings& settings);
 
--- a/src/net/txn.cpp
+++ b/src/net/txn.cpp
@@ -70,7 +70,7 @@
     const Sec until = d->time > 0 ? std::min(order.expires, scheduler.now() + d->time) : order.expires;
     Hop hop(scheduler, caches,
             {d->member, d->source, order.id, order.id_text, order.body, fields_of(order, *d, caches), until,
-             d->by > 0 ? d->by : kNoTime, until >= order.expires});
+             d->by > 0 ? d->by : kNoTime, until >= order.expires, order.effect});
     seat.hop_out(&hop);
     ++hops;
     while (!hop.ended()) {
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -92,7 +92,7 @@
     return std::make_unique<Hop>(
         scheduler, caches,
         Hop::What{m, m, static_cast<std::uint64_t>(0xa0 + n), ids.back(), body,
-                  "cls=page,item=7f3a9c21e0b4d655,chunk=0", scheduler.now() + 30, by, true});
+                  "cls=page,item=7f3a9c21e0b4d655,chunk=0", scheduler.now() + 30, by, true, true});
   }
   Caches caches;
   std::deque<std::string> ids;
@@ -129,7 +129,7 @@
 
 struct ClientsStand : Stand {
   ClientsStand()
-      : clients(scheduler, outbox, log, std::move(ear.fd), 8, {{"page", false, false}},
+      : clients(scheduler, outbox, log, std::move(ear.fd), 8, {{.name = "page"}},
                 [this](std::shared_ptr<Client> c, Order o) { serve(std::move(c), std::move(o)); }) {}
   Fd connect() {
     Fd fd(::socket(AF_INET, SOCK_STREAM, 0));
