A word to reload that crosses the file's writing is followed; an end asked for goes before a hand-over

Seen on reading the phases (router.cpp, live and reload): SIGHUP while the file is half written left the router on the old bus for good, as the file was read once; the bus there tells nothing any more, so drains after it would not be heeded. reload_torn.net writes half of the file, sends the word, and the rest 0.6 s later: with the text before, the router never comes to the new bus. Now the file is read again each 0.25 s for 3 s; what the bus has to tell counts as told 4 s after the word.

Beside it, the order of the two ends: SIGTERM in the turn in which a change's move was given was taken from the queue and lost, and a move given while the router drained started the next program after the end. The end goes first and takes the move back.

--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -276,6 +276,7 @@
 void Router::carry_out(const change::Rollout::Move& move) {
   auto& rollout = shared_->changes()->rollout();
   const Sec now = scheduler_.now();
+  if (phase_ != Phase::serving) return;  // it ends, and no other program begins for it
   if (move.document.work == freeze::kRelease) {
     const char* earlier = std::getenv(kEarlier);
     const std::string program = !move.back ? move.document.body : earlier != nullptr ? earlier : "";
@@ -348,13 +349,15 @@
 }
 
 // What may change while txns are open is where the event bus is; all else needs a restart.
-void Router::reload() {
+bool Router::reload() {
   try {
     const auto fresh = read_again_();
     log_("reload", "event bus {}", fresh.has_bus ? text_of(fresh.bus) : "none");
     if (fresh.has_bus) list_.follow(fresh.bus);
+    return true;
   } catch (const std::exception& e) {
     log_("reload", "kept as it was: {}", e.what());
+    return false;
   }
 }
 
@@ -418,14 +421,22 @@
   take_over();
   if (config_.has_bus) list_.follow(config_.bus);
 
+  // A file that cannot be used is looked at again. Guards against a word that crosses the file's writing: the
+  // bus that it names would never be followed. What it tells counts as told 4 s after the word.
+  constexpr Sec kAgain = 0.25, kLongest = 3;
+  Sec read_until = 0;
   enter(Phase::serving);
   for (;;) {
     const int signal = signals_.take();
-    if (signal == SIGHUP) reload(), read_documents();
-    if (next_) co_return scheduler_.start(make_way());
+    if (signal == SIGHUP) read_until = reload() ? 0 : scheduler_.now() + kLongest, read_documents();
     if (signal == SIGTERM || signal == SIGINT) break;
-    if (signal == 0) co_await signals_.came.wait();
+    if (next_) co_return scheduler_.start(make_way());
+    if (signal != 0) continue;
+    const bool again = scheduler_.now() < read_until;
+    const bool told = co_await signals_.came.wait(again ? scheduler_.now() + kAgain : kNoTime);
+    if (!told && reload()) read_until = 0;
   }
+  next_.reset();  // who asks for the end gets it
 
   // Clients that have not heard yet still come, for most of a second; those that are open have their time, as
   // far as the platform gives it: it kills after the longest time limit, counted as kMost at most, and kKill.
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -75,7 +75,7 @@
   };
 
   void enter(Phase phase);
-  void reload();
+  bool reload();  // false: the file cannot be used now
   void take_over();     // what the last start learnt, where a file is named
   void leave_learnt();  // for the next
   Task live();
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -542,8 +542,12 @@
     std::ofstream(path) << text;
   }
 
-  // The bus opens at another address; the file names it, or holds what is given instead.
-  void reload(const std::string& instead) {
+  // The bus opens at another address; the file names it, or holds what is given instead. "torn": half of the
+  // file that names it, "whole": the other half, without a word to the router.
+  void reload(std::string instead) {
+    const bool whole = instead == " whole", torn = instead == " torn";
+    if (whole) return void(std::ofstream(folder_ / "config.json") << config_);
+    if (torn) instead.clear();
     if (instead.empty()) {
       old_bus_ = std::exchange(bus_, {});
       bus_.fd = listen_at(bus_.port);
@@ -551,6 +555,7 @@
       const auto at = config_.find(from);
       config_.replace(at, from.size(), "\"bus\":\"127.0.0.1:" + std::to_string(bus_.port));
     }
+    if (torn) instead = config_.substr(0, config_.size() / 2);
     std::ofstream(folder_ / "config.json") << (instead.empty() ? config_ : instead);
     ::kill(router_, SIGHUP);
   }
