--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -75,6 +75,13 @@
     settle(Verdict::timed_out);
 }
 
+void Hop::wait_again() {
+  state_ = State::waiting;
+  over_ = nullptr;
+  caches_.peer(what_.member).waiting.push_back(this);
+  event_.set();  // its task waits for another time now
+}
+
 void Hop::call_off() { settle(Verdict::called_off); }
 
 void Hop::drop() {
@@ -388,11 +395,17 @@
   c.up = false;
   if (commands_ != nullptr) commands_->connection_lost(member);
   if (!why.empty() && c.live > 0) log_("connection", "{}: {}, {} hops out", p.id, why, c.live);
-  for (auto& [id, hop] : std::exchange(c.open, {}))
-    if (hop != nullptr)
+  // A hop of which nothing has left waits again. Guards against a close that follows an answer: the member
+  // had room for the next hop on this connection, and would look as if nobody were there.
+  for (auto& [id, hop] : std::exchange(c.open, {})) {
+    if (hop == nullptr) continue;
+    if (hop->state_ == Hop::State::written && c.stream.handed() <= hop->first_byte_)
+      hop->wait_again();
+    else
       hop->finish(hop->state_ == Hop::State::settling    ? hop->end_.verdict
                   : c.stream.handed() >= hop->last_byte_ ? Verdict::broken
                                                          : Verdict::no_connection);
+  }
   if (!p.waiting.empty()) dial_for(member);
 }
 
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -64,6 +64,7 @@
   enum class State { waiting, written, settling, ended };
   void finish(Verdict verdict);
   void settle(Verdict verdict);
+  void wait_again();
 
   Scheduler& scheduler_;
   Caches& caches_;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -267,6 +267,36 @@
   });
 }
 
+TEST_CASE(
+    "given an answer and a close in one, when another hop waits for room, then it is no sign of a death") {
+  CachesStand s(1, 1);
+  const Ear ear;
+  s.play([&]() -> Task {
+    const int m = s.member("s-1", ear.address);
+    const auto hop = s.hop(m, 1), next = s.hop(m, 2);
+    Event look(s.scheduler);
+    Fd first, second;
+    for (const Sec since = s.scheduler.now(); s.going(since) && !(first = ear.accept());)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    std::string asked;
+    for (const Sec since = s.scheduler.now(); s.going(since) && asked.empty(); asked = taken(first))
+      co_await look.wait(s.scheduler.now() + 0.01);
+    say(first, words_text({id_of(1), "served", "etag=1", "one"}));
+    first = Fd();
+    for (const Sec since = s.scheduler.now(); s.going(since) && !(second = ear.accept());)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    CHECK(hop->end().verdict == Verdict::completed);
+    CHECK_FALSE(next->ended());
+    CHECK(second);
+    if (!second) co_return s.scheduler.stop();
+    asked.clear();
+    for (const Sec since = s.scheduler.now(); s.going(since) && asked.empty(); asked = taken(second))
+      co_await look.wait(s.scheduler.now() + 0.01);
+    CHECK(asked.find(id_of(2)) != std::string::npos);
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given an answer whose age cannot be read, then its hop ends with its connection") {
   CachesStand s;
   const Ear ear;
