Who is not in a whole list is gone for hops that wait; test routers listen below the outgoing ports

Seen on reading list.cpp: the module takes a member that a whole list leaves out as gone (list_end), the caches' side was told of members in the list alone, so a hop that waited for its connection was written to it when that came up. The story in tests/crossings.cpp forces it with a connection that comes up late; with the call taken out it fails.

--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -11,11 +11,16 @@
 
 namespace walkpaddle::net {
 
-void List::list_begin(bool whole) { desk_.input().list_begin(whole); }
+void List::list_begin(bool whole) {
+  whole_ = whole;
+  in_list_.clear();
+  desk_.input().list_begin(whole);
+}
 
 void List::list_member(std::string_view id, const Address& address, int location, int kind, int cell,
                        Listed state, double weight, Sec started) {
   const int m = caches_.member(id);
+  if (whole_) in_list_.insert(m);
   caches_.told(m, address, state);
   desk_.purges().boxes().listed(m, state != Listed::gone);
   desk_.input().list_member(m, stable_hash(id), location, kind, cell, state, weight, started);
@@ -23,7 +28,13 @@
     watch_->listed(m, {stable_hash(id), location, kind, cell, state, weight, started}, scheduler_.now());
 }
 
+// Who is not in a whole list is gone, for hops that wait as for the module.
 void List::list_end() {
+  for (int m = 0; whole_ && m < caches_.members(); ++m) {
+    if (in_list_.contains(m)) continue;
+    caches_.told(m, caches_.address(m), Listed::gone);
+    desk_.purges().boxes().listed(m, false);
+  }
   desk_.input().list_end();
   tell_facts();
 }
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <unordered_set>
 
 #include "io/log.h"
 #include "net/caches.h"
@@ -47,7 +48,9 @@
   std::uint64_t last_ = 0, gap_after_ = kNoGap;  // gap_after_: the last before a gap that is asked for again
   Address bus_;
   bool following_ = false, moved_ = false;
-  Stream* stream_ = nullptr;  // the connection in use, if there is one
+  bool whole_ = false;               // the list that is being told
+  std::unordered_set<int> in_list_;  // so far
+  Stream* stream_ = nullptr;         // the connection in use, if there is one
   replica::Watch* watch_ = nullptr;
   Event pause_over_;
   // Held while there is no connection. Guards against clients and hops that take the descriptor of one that
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -482,3 +482,28 @@
     s.scheduler.stop();
   });
 }
+
+TEST_CASE(
+    "given a hop that waits for its connection, when a whole list leaves its member out, then it is not "
+    "sent") {
+  CachesStand s;
+  const Ear full(0);
+  const auto config = parse_config(config_text("n0", 1, 1, "", "{}"));
+  fleet::Purges purges({}, s.scheduler.now());
+  Desk desk(s.scheduler, 7, config.settings, purges);
+  List list(s.scheduler, s.outbox, s.log, desk, s.caches);
+  s.play([&]() -> Task {
+    const Fd first = dial(full.address);
+    Event look(s.scheduler);
+    co_await look.wait(s.scheduler.now() + 0.1);
+    list.list_begin(true);
+    list.list_member("s-1", full.address, 1, 0, 0, Listed::ready, 1, 0);
+    list.list_end();
+    const auto hop = s.hop(s.caches.member("s-1"), 1);
+    list.list_begin(true);
+    list.list_end();
+    CHECK(hop->ended());
+    CHECK(hop->end().verdict == Verdict::not_sent);
+    s.scheduler.stop();
+  });
+}
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -253,6 +253,17 @@
     return fd;
   }
 
+  // Below the kernel's range for outgoing connections: none takes it between this look and the router's
+  // start.
+  static int free_port(int from) {
+    for (int port = from; port < from + 500; ++port) try {
+        listen_on(Address{INADDR_LOOPBACK, static_cast<std::uint16_t>(port)});
+        return port;
+      } catch (const std::system_error&) {
+      }
+    fail("port");
+  }
+
   static Fd connect_to(int port) {
     for (int n = 0; n < 500; ++n, ::usleep(10000)) {
       Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -478,13 +489,13 @@
     for (std::string name; in >> name;) list += listed(name, "edge", "cache") + ",";
     list += listed("par", "hub", "parent") + "," + listed("origin", "hub", "origin");
     bus_.fd = listen_at(bus_.port);
-    { const auto free = listen_at(port_); }
+    port_ = free_port(20000 + 97 * ::getpid() % 10000);
     config_ = config_text("n0", port_, bus_.port, list,
                           with_dns ? R"({"sockets":80,"memory_mb":8})" : R"({"sockets":40,"memory_mb":3})");
     folder_ = std::filesystem::temp_directory_path() / ("walkpaddle-" + std::to_string(::getpid()));
     std::filesystem::create_directory(folder_);
     std::ofstream(folder_ / "config.json") << config_;
-    { const auto free = listen_at(dns_port_); }
+    dns_port_ = free_port(port_ + 1);
     if (with_dns)
       std::ofstream(folder_ / "walkpaddle.conf")
           << "dns {\n listen = \"127.0.0.1:" << dns_port_
