--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -126,6 +126,12 @@
   return Came::end;
 }
 
+bool Stream::ended() const {
+  char next = 0;
+  const auto got = broken_ ? 0 : ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void Stream::consume(std::size_t bytes) { in_from_ += bytes; }
 
 namespace {
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -65,7 +65,8 @@
   ~Stream();
 
   enum class Came { bytes, nothing, end };
-  Came read();  // takes what the kernel holds, within a bound a call
+  Came read();         // takes what the kernel holds, within a bound a call
+  bool ended() const;  // the other side's end has come, whether read or not
   std::string_view in() const { return {in_.data() + in_from_, in_.size() - in_from_}; }
   void consume(std::size_t bytes);
   Event::Awaiter readable(Sec until = kNoTime) { return readable_.wait(until); }
--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -22,6 +22,7 @@
   std::deque<std::uint64_t> over;                // the latest of these, oldest first
   std::size_t live = 0;                          // those not given up
   Sec heard = 0, used = 0;
+  std::uint64_t answers = 0;  // whole ones that came
 };
 
 struct Caches::Peer {
@@ -201,6 +202,11 @@
       ++it;
       continue;
     }
+    // Guards against a hop that is written after the other side's end, and may then have run.
+    if (best->live == 0 && best->stream.ended()) {
+      best->silent = true, best->stream.close();
+      continue;
+    }
     crowded = crowded || best->live > 0;
     it = p.waiting.erase(it);
     write(*hop, *best);
@@ -361,11 +367,16 @@
   c.up = true;
   c.heard = c.used = scheduler_.now();
   place(p);
-  // Bytes of one answer follow each other within a round trip; where they stop, nothing on this connection
-  // will be answered any more.
+  // Bytes of one answer follow each other within a round trip; where they stop, or trickle, nothing on this
+  // connection will be answered any more. A hundredth of a usual transfer's pace brings more than kLeast.
   constexpr Sec kRest = 0.4;
+  constexpr std::size_t kLeast = 1024;
+  Sec moved = c.heard;       // when the answer that has begun last moved on
+  std::size_t moved_at = 0;  // with so much of it held
   std::string_view why = "closed by the other side";
   for (;;) {
+    const bool resting = c.stream.in().empty();
+    const auto answers = c.answers;
     const auto came = c.stream.read();
     if (came == Stream::Came::end) break;
     if (came == Stream::Came::bytes) {
@@ -374,16 +385,23 @@
         why = "an answer that cannot be read";
         break;
       }
+      if (const auto held = c.stream.in().size();
+          resting || c.answers != answers || held >= moved_at + kLeast)
+        moved = c.heard, moved_at = held;
+      if (!c.stream.in().empty() && c.heard >= moved + kRest) {
+        why = "an answer that trickles";
+        break;
+      }
       place(p);
       continue;
     }
     const bool begun = !c.stream.in().empty();
-    const Sec until = begun        ? c.heard + kRest
+    const Sec until = begun        ? moved + kRest
                       : c.live > 0 ? kNoTime
                                    : std::max(c.used + idle_, scheduler_.now() + 0.1);
     const bool told = co_await c.stream.readable(until);
     if (told) continue;
-    if (begun && scheduler_.now() >= c.heard + kRest) {
+    if (begun && scheduler_.now() >= moved + kRest) {
       why = "an answer that stopped midway";
       break;
     }
@@ -418,6 +436,7 @@
       if (answer_words.used == 0) return true;
       answer(c, answer_words.words);
       c.stream.consume(answer_words.used);
+      ++c.answers;
     }
   } catch (const Malformed& e) {
     log_("answer", "{}", e.what());
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -297,6 +297,51 @@
   });
 }
 
+TEST_CASE(
+    "given a resting connection that its peer has closed, when a hop follows, then it is not written there") {
+  CachesStand s;
+  const Ear ear;
+  s.play([&]() -> Task {
+    const int m = s.member("s-1", ear.address);
+    const auto hop = s.hop(m, 1);
+    Event look(s.scheduler);
+    Fd first, second;
+    for (const Sec since = s.scheduler.now(); s.going(since) && !(first = ear.accept());)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    say(first, words_text({id_of(1), "served", "etag=1", "one"}));
+    for (const Sec since = s.scheduler.now(); s.going(since) && !hop->ended();)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    taken(first);  // else the close would be a reset
+    first = Fd();
+    const auto next = s.hop(m, 2);  // in the same turn: no word of the close has been read
+    for (const Sec since = s.scheduler.now(); s.going(since) && !(second = ear.accept());)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    CHECK_FALSE(next->ended());
+    CHECK(second);
+    s.scheduler.stop();
+  });
+}
+
+TEST_CASE("given an answer that trickles, then its connection ends") {
+  CachesStand s;
+  const Ear ear;
+  s.play([&]() -> Task {
+    const auto hop = s.hop(s.member("s-1", ear.address), 1);
+    Event look(s.scheduler);
+    Fd peer;
+    for (const Sec since = s.scheduler.now(); s.going(since) && !(peer = ear.accept());)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    say(peer, "*4\r\n$16\r\n" + id_of(1) + "\r\n$6\r\nserved\r\n$6\r\netag=1\r\n$90000\r\n");
+    for (int n = 0; n < 60 && !hop->ended(); ++n) {  // a byte each 50 ms, for three seconds
+      if (::send(peer.get(), "x", 1, MSG_NOSIGNAL) < 0) break;
+      co_await look.wait(s.scheduler.now() + 0.05);
+    }
+    CHECK(hop->ended());
+    CHECK(hop->end().verdict == Verdict::broken);
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given an answer whose age cannot be read, then its hop ends with its connection") {
   CachesStand s;
   const Ear ear;
