A report that a later one overtook is no sign that a router fell back

Known red: change_release stopped now and then as "1 of the routers that moved did not become ready", with all eight alive. Cause, src/change/rollout.cpp heard() and note(): a router's answers to its driver are datagrams without an order. One from before its move (old) that comes after one of the move (moving) reads as a router that went to move and is as before, which counts as a failed start; at the canary one is enough. An ask that comes twice makes two answers, and a delay of up to 20 ms turns them round. Counters of the older report were judged once more besides.

Each report now tells when it was sent, greater than the last of its router; the driver passes over one that is older than what it holds. One older by 5 s and more is another start's on a clock that went back, and is taken. The schema grows by one field; releases without it send 0 and are taken as before (compat_parts, compat_kept unchanged).

The story hands three routers each letter again after the one that follows it.

--- a/src/change/change.capnp
+++ b/src/change/change.capnp
@@ -71,6 +71,7 @@
   phase @4 :UInt8;        # old, moving, new, failed, held
   counters @5 :Counters;
   ackedUnder @6 :UInt64;  # the term under which it agreed
+  sent @7 :UInt64;        # microseconds of its router's clock, each greater than the last; 0: not told
 }
 
 # What one router counted since its epoch began; see src/change/evidence.h.
--- a/src/change/rollout.cpp
+++ b/src/change/rollout.cpp
@@ -360,7 +360,7 @@
 // ---- letters -----------------------------------------------------------------------------------
 
 Rollout::Report Rollout::report(const Course& c, bool granted) const {
-  return {promised_, granted, c.acked, c.acked_under, phase(c), counters_};
+  return {promised_, granted, c.acked, c.acked_under, phase(c), counters_, 0};
 }
 
 // Whether this router lets the change go on to `wanted`, asked under a term that it promised.
@@ -382,7 +382,7 @@
       if (drive_ && hash_of(drive_->change) == b.getChange())
         heard(from,
               {b.getTerm(), b.getGranted(), b.getAcked(), b.getAckedUnder(), static_cast<Phase>(b.getPhase()),
-               counters_of(b.getCounters())},
+               counters_of(b.getCounters()), b.getSent()},
               now);
       return;
     }
@@ -412,6 +412,7 @@
     out.setChange(a.change), out.setTerm(r.term), out.setGranted(r.granted), out.setAcked(r.acked);
     out.setAckedUnder(r.acked_under);
     out.setPhase(static_cast<std::uint8_t>(r.phase));
+    out.setSent(sent_ = std::max(sent_ + 1, static_cast<std::uint64_t>(now * 1e6)));
     put(out.initCounters(), r.counters);
     if (letters_.size() < 2 * fleet()) letters_.push_back({from, flat(message)});
     due_ = 0;
@@ -492,6 +493,11 @@
     return;
   }
   auto& [last, at] = d.reports[from];
+  // Datagrams overtake each other and come twice. Guards against a report from before a move that comes after
+  // one of the move: it would tell of a router that went to move and is as before. One that is older by more
+  // than any way takes is of another start, on a clock that went back.
+  constexpr std::uint64_t kLongestWay = 5'000'000;
+  if (r.sent > 0 && r.sent <= last.sent && last.sent - r.sent < kLongestWay) return;
   const bool granted = last.granted || (r.granted && r.term == promised_);
   last = r, at = now;
   last.granted = granted;
--- a/src/change/rollout.h
+++ b/src/change/rollout.h
@@ -135,6 +135,7 @@
     std::uint64_t acked_under = 0;
     Phase phase = Phase::old;
     Counters counters;
+    std::uint64_t sent = 0;
   };
   enum class Driving : std::uint8_t { electing, watching, asking, judging };
   struct Drive {
@@ -210,6 +211,7 @@
   std::string tried_;  // the change whose release this machine last ended for; see own()
   std::uint64_t promised_ = 0;
   int promised_to_ = -1;
+  std::uint64_t sent_ = 0;  // of the last report
   Sec driver_heard_, stepped_at_, due_, elect_at_;
   std::optional<Drive> drive_;
 };
--- a/tests/stories/changes.cpp
+++ b/tests/stories/changes.cpp
@@ -3,8 +3,12 @@
 #include "lab/changes.h"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
 #include <set>
 
 using namespace walkpaddle;
@@ -654,3 +658,90 @@
     if (bad) CHECK(fleet.stopped("c1"));
   }
 }
+
+namespace {
+
+// Three routers whose letters go by hand: after each one that comes, the one before it on the same way comes
+// once more, as a datagram does that was doubled and overtaken.
+struct Overtaken {
+  static constexpr int kRouters = 3;
+  struct Router {
+    std::unique_ptr<freeze::Calendar> calendar;
+    std::unique_ptr<change::Rollout> rollout;
+    std::vector<int> peers;  // by number among its members
+    change::Counters counters;
+    Sec ready_at = 0;
+    std::vector<std::string> said;
+  };
+  Overtaken() {
+    for (int n = 0; n < kRouters; ++n) {
+      auto& r = routers[static_cast<std::size_t>(n)];
+      const auto name = [](int of) { return static_cast<std::uint64_t>(of) + 1; };
+      change::Rollout::Setup s{.self = {name(n), "east"},
+                               .peers = {},
+                               .generation = "g1",
+                               .seed = static_cast<std::uint32_t>(n),
+                               .lasting = true,
+                               .alive = [](int) { return true; },
+                               .refuses = [](const change::Document&) { return std::string(); }};
+      std::vector<std::uint64_t> fleet{name(n)};
+      for (int p = 0; p < kRouters; ++p)
+        if (p != n) r.peers.push_back(p), fleet.push_back(name(p)), s.peers.push_back({name(p), "east"});
+      r.calendar = std::make_unique<freeze::Calendar>(name(n), fleet, freeze::Calendar::Bounds{});
+      r.rollout = std::make_unique<change::Rollout>(s, *r.calendar, change::Rollout::Bounds{}, now);
+      r.counters.epoch = 1;
+    }
+  }
+  bool all(const std::function<bool(const change::Rollout::Standing&)>& holds) {
+    return std::ranges::all_of(routers, [&](auto& r) {
+      const auto standing = r.rollout->standing(now);
+      return !standing.empty() && holds(standing.front());
+    });
+  }
+  void step() {
+    now += 0.1;
+    for (int n = 0; n < kRouters; ++n) {
+      auto& r = routers[static_cast<std::size_t>(n)];
+      r.calendar->in_contact(now);
+      r.counters.txns += 5, r.counters.took[4] += 5, r.counters.hops += 5;
+      r.rollout->counted(r.counters);
+      // A release takes its router away for a while; its counters begin anew.
+      if (r.rollout->next_move(now)) r.ready_at = now + 5;
+      if (r.ready_at > 0 && now >= r.ready_at)
+        r.ready_at = 0, r.counters = {.epoch = r.counters.epoch + 1}, r.rollout->moved(now);
+      for (auto& line : r.rollout->take_said()) r.said.push_back(std::move(line));
+      for (const auto id : r.rollout->take_news())
+        for (const int p : r.peers)
+          routers[static_cast<std::size_t>(p)].rollout->take(r.rollout->bytes(id), now);
+      while (const auto letter = r.rollout->next_letter(now)) {
+        const int to = r.peers[static_cast<std::size_t>(letter->peer)];
+        auto& there = routers[static_cast<std::size_t>(to)];
+        const auto from = static_cast<int>(std::ranges::find(there.peers, n) - there.peers.begin());
+        there.rollout->letter(from, letter->bytes, now);
+        auto& before = last[{n, to}];
+        if (!before.empty()) there.rollout->letter(from, before, now);
+        before = letter->bytes;
+      }
+    }
+  }
+  Sec now = 1'780'000'000;
+  std::array<Router, kRouters> routers;
+  std::map<std::pair<int, int>, std::string> last;
+};
+
+}  // namespace
+
+SCENARIO("a report from before a move that comes after one of the move is no sign of a fall") {
+  GIVEN("three routers, each of whose letters comes once more after the one that follows it") {
+    Overtaken fleet;
+    WHEN("a good release is proposed") {
+      REQUIRE(fleet.routers[0].rollout->propose(release_document(), fleet.now));
+      for (int n = 0; n < 6000 && !fleet.all([](const auto& s) { return s.done || s.stopped; }); ++n)
+        fleet.step();
+      THEN("it goes through, and nobody takes a router that moved for one that fell") {
+        CHECK(fleet.all([](const auto& s) { return s.done && !s.stopped; }));
+        for (const auto& r : fleet.routers) CHECK(r.rollout->running() == "g2");
+      }
+    }
+  }
+}
