Stand-ins let go of what was closed while frozen; accepts without descriptors are tried again

Seen there: the child's open() of its log had failed, which nothing looked at. Besides, an accept that failed for want of a descriptor waited for the next edge, and the relay between two routers stayed shut; that fits the unconfirmed purge but was not caught in the act.

Stream::ended() also goes by the kernel's word of the end, which a look at the next byte cannot see behind unread bytes.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -34,22 +34,6 @@
 
 std::string box_id(int n) { return fmt::format("s-{:08x}", 0xb0 + n); }
 
-// A port for a router to listen on, below the kernel's range for outgoing connections (32768 on), so that no
-// connection of another takes it between this look and the router's start; from where the last one ended.
-int free_port(int& next) {
-  constexpr int kFirst = 20000, kLast = 32000;
-  for (int tries = 0; tries < kLast - kFirst; ++tries) {
-    const int port = next;
-    next = next + 1 >= kLast ? kFirst : next + 1;
-    try {
-      listen_on(Address{kLoopback, static_cast<std::uint16_t>(port)});
-      return port;
-    } catch (const std::system_error&) {
-    }
-  }
-  throw std::runtime_error("no port free from 20000 to 32000");
-}
-
 }  // namespace
 
 Fleet::Fleet(const Setup& setup)
@@ -70,11 +54,10 @@
   for (auto& s : boxes_) s->know(all);
   for (int n = 0; n < setup_.objects; ++n) boxes_.back()->change(object_name(n), {});
   routers_.resize(static_cast<std::size_t>(setup_.routers));
-  // By process too: two laboratories side by side must not look for ports in the same place.
-  int next = 20000 + (static_cast<int>(chance_() % 10000) + 97 * ::getpid()) % 10000;
+  int next = standins::first_port(static_cast<unsigned>(chance_()));
   for (auto& r : routers_) {
-    r.port = free_port(next);
-    r.fleet_port = free_port(next);
+    r.port = standins::free_port(next);
+    r.fleet_port = standins::free_port(next);
     r.bus.listener = listen_on(Address{kLoopback, 0});
     r.bus.port = standins::port_of(r.bus.listener.get());
   }
--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -101,6 +101,7 @@
 }
 
 void Stream::on_ready(std::uint32_t epoll_events) {
+  if ((epoll_events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) end_told_ = true;
   if ((epoll_events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) readable_.set();
   if ((epoll_events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0) {
     writable_.set();
@@ -127,8 +128,9 @@
 }
 
 bool Stream::ended() const {
+  if (broken_ || end_told_) return true;
   char next = 0;
-  const auto got = broken_ ? 0 : ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  const auto got = ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
   return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
 }
 
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -65,8 +65,9 @@
   ~Stream();
 
   enum class Came { bytes, nothing, end };
-  Came read();         // takes what the kernel holds, within a bound a call
-  bool ended() const;  // the other side's end has come, whether read or not
+  Came read();  // takes what the kernel holds, within a bound a call
+  // The other side's end has come, whether read or not: told by the kernel, or next to be read.
+  bool ended() const;
   std::string_view in() const { return {in_.data() + in_from_, in_.size() - in_from_}; }
   void consume(std::size_t bytes);
   Event::Awaiter readable(Sec until = kNoTime) { return readable_.wait(until); }
@@ -82,7 +83,8 @@
   bool take_back(std::uint64_t from, std::uint64_t to);
   void flush();
   void end_writing();
-  void close();  // as if the other side had closed: the reader wakes and sees the end
+  void wake() { readable_.set(); }  // its reader looks again
+  void close();                     // as if the other side had closed: the reader wakes and sees the end
   bool broken() const { return broken_; }
 
  private:
@@ -95,7 +97,7 @@
   std::string in_, out_;
   std::size_t in_from_ = 0, out_from_ = 0;
   std::uint64_t written_ = 0, handed_ = 0;
-  bool queued_ = false, blocked_ = false, broken_ = false;
+  bool queued_ = false, blocked_ = false, broken_ = false, end_told_ = false;
 };
 
 }  // namespace walkpaddle
--- a/standins/world.cpp
+++ b/standins/world.cpp
@@ -2,9 +2,12 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <stdexcept>
+#include <system_error>
 
 #include "net/resp.h"
 #include "text.h"
@@ -15,8 +18,31 @@
 
 constexpr std::uint32_t kLoopback = 0x7f000001;
 
+// What has no descriptor left is asked for again. Guards against an accept that is given up for good, as its
+// listener tells of a caller once.
+constexpr Sec kAgain = 0.05;
+bool wants_descriptor() { return errno == EMFILE || errno == ENFILE; }
+
 }  // namespace
 
+int free_port(int& next) {
+  constexpr int kFirst = 20000, kLast = 32000;
+  for (int tries = 0; tries < kLast - kFirst; ++tries) {
+    const int port = next;
+    next = next + 1 >= kLast ? kFirst : next + 1;
+    try {
+      listen_on(Address{kLoopback, static_cast<std::uint16_t>(port)});
+      return port;
+    } catch (const std::system_error&) {
+    }
+  }
+  throw std::runtime_error("no port free from 20000 to 32000");
+}
+
+int first_port(unsigned chance) {
+  return 20000 + (static_cast<int>(chance % 10000) + 97 * ::getpid()) % 10000;
+}
+
 int port_of(int fd) {
   sockaddr_in a{};
   socklen_t size = sizeof a;
@@ -59,14 +85,13 @@
     if (fd)
       scheduler_.start(connection(std::move(fd)));
     else
-      co_await listener_.came.wait();
+      co_await listener_.came.wait(wants_descriptor() ? scheduler_.now() + kAgain : kNoTime);
   }
 }
 
 Task Server::connection(Fd fd) {
   auto c = std::make_shared<Connection>(scheduler_, outbox_, std::move(fd));
   open_.insert(c);
-  Event wait(scheduler_);
   net::Words words;
   for (bool good = true; good;) {
     const auto came = c->stream.read();
@@ -75,7 +100,10 @@
       co_await c->stream.readable();
       continue;
     }
-    while (scheduler_.now() < frozen_until_) co_await wait.wait(frozen_until_);
+    // Frozen it reads nothing; what the other side has closed is let go, so that no descriptor is held for
+    // it.
+    while (scheduler_.now() < frozen_until_ && !c->stream.ended()) co_await c->stream.readable(frozen_until_);
+    if (scheduler_.now() < frozen_until_) break;
     for (;;) {
       net::read_words(c->stream.in(), 8, 1 << 20, words);
       if (words.used == 0) break;
@@ -145,10 +173,12 @@
   const Sec oldest = oldest_text ? parse<double>(*oldest_text, "maxage") / 1e3 : 0;
   const bool kept = net::field(fields, "keep").has_value();
   Event wait(scheduler_);
-  const auto thawed = [&] { return scheduler_.now() >= frozen_until_; };
+  // While frozen; what the other side has closed is not waited for.
+  const auto thawed = [&] { return scheduler_.now() >= frozen_until_ || c->stream.ended(); };
+  const auto look = [&] { return std::min(frozen_until_, scheduler_.now() + kAgain); };
   co_await wait.wait(scheduler_.now() + habits_.hit);
-  while (!thawed()) co_await wait.wait(frozen_until_);
-  if (starts_ != start || c->stream.broken()) co_return;
+  while (!thawed()) co_await wait.wait(look());
+  if (starts_ != start || c->stream.ended()) co_return;
   const auto answer = [&](std::string_view verdict, const Copy& copy, std::string_view tell) {
     std::string tags;
     for (const auto& t : copy.tags) tags += (tags.empty() ? "" : "+") + t;
@@ -177,7 +207,7 @@
     const auto fill = it->second;
     while (filling_.contains(object) && filling_[object] == fill)
       co_await wait.wait(scheduler_.now() + 0.002);
-    if (starts_ != start || c->stream.broken()) co_return;
+    if (starts_ != start || c->stream.ended()) co_return;
     if (fill->version > 0 && good(object, *fill, oldest)) {
       ++counts_.joined;
       answer("served", *fill, "shared");
@@ -224,8 +254,8 @@
     found = true;
   }
   co_await wait.wait(scheduler_.now() + habits_.fill);
-  while (!thawed()) co_await wait.wait(frozen_until_);
-  if (starts_ != start || c->stream.broken()) co_return;
+  while (!thawed()) co_await wait.wait(look());
+  if (starts_ != start || c->stream.ended()) co_return;
   // An older one than was asked for is not passed on, whoever gave it.
   if (oldest > 0 && began - copy.made > oldest + 0.002 && !habits_.lies) found = false;
   if (!found) {
@@ -255,7 +285,7 @@
   while (listener_.open()) {
     Fd fd = listener_.accept();
     if (!fd) {
-      co_await listener_.came.wait();
+      co_await listener_.came.wait(wants_descriptor() ? scheduler_.now() + kAgain : kNoTime);
       continue;
     }
     if (scheduler_.now() < cut_until_) continue;
--- a/standins/world.h
+++ b/standins/world.h
@@ -20,6 +20,12 @@
 
 int port_of(int fd);
 
+// A port for a process to listen on, below the kernel's range for outgoing connections (32768 on), so that no
+// connection of another takes it between this look and the process's start, or between two starts of it; from
+// `next` on, which moves past it.
+int free_port(int& next);
+int first_port(unsigned chance);  // where to look first: by process, so that two tests look apart
+
 struct Copy {
   int version = 0;
   Sec made = 0;
--- a/tests/fleet_sockets.cpp
+++ b/tests/fleet_sockets.cpp
@@ -11,12 +11,14 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <system_error>
 #include <unordered_map>
 
 #include "net/resp.h"
@@ -38,11 +40,6 @@
 std::string object_name(int n) { return fmt::format("{:016x}", 0x1000 + n); }
 std::string tag_name(int n) { return fmt::format("contract{}", n % 7); }
 
-int free_port() {
-  const Fd fd = listen_on(Address{kLoopback, 0});
-  return standins::port_of(fd.get());
-}
-
 struct Router {
   int port = 0, fleet_port = 0;
   pid_t pid = -1;
@@ -80,7 +77,8 @@
     for (auto& s : servers_) s->know(all);
     for (int n = 0; n < kObjects; ++n) origin().change(object_name(n), tags_of(n));
     routers_.resize(kRouters);
-    for (auto& r : routers_) r.port = free_port(), r.fleet_port = free_port();
+    int next = standins::first_port(seed);
+    for (auto& r : routers_) r.port = standins::free_port(next), r.fleet_port = standins::free_port(next);
     for (int a = 0; a < kRouters; ++a)
       for (int b = a + 1; b < kRouters; ++b)
         relays_[{a, b}] = std::make_unique<Relay>(scheduler_, outbox_, routers_[b].fleet_port);
@@ -156,12 +154,15 @@
   }
 
   pid_t spawn(const std::vector<std::string>& words, const std::string& folder, const std::string& output) {
+    // Before the fork: a process without its log would write among this test's lines.
+    const Fd out(::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
+    if (!out) throw std::system_error(errno, std::generic_category(), output);
+    most_fd_ = std::max(most_fd_, out.get());
     const pid_t pid = ::fork();
     if (pid != 0) return pid;
     ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
     ::unsetenv("LB_LISTEN");
-    const int out = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    ::dup2(out, 1), ::dup2(out, 2);
+    ::dup2(out.get(), 1), ::dup2(out.get(), 2);
     std::vector<char*> args{const_cast<char*>(program_)};
     for (const auto& w : words) args.push_back(const_cast<char*>(w.c_str()));
     args.push_back(nullptr);
@@ -433,9 +434,9 @@
     for (const auto& s : servers_) fills += s->counts().fills, joined += s->counts().joined;
     std::fprintf(stderr,
                  "answers %d, old %d, twice %d, lost %d, refused %d, purges %zu accepted %td, versions "
-                 "behind within the delay %d, fills %d, joined %d, liar seen %d\n",
+                 "behind within the delay %d, fills %d, joined %d, liar seen %d, descriptors to %d\n",
                  answers_, old_, twice_, lost_, refused_, purges_.size(), accepted, stale_meanwhile_, fills,
-                 joined, set_aside);
+                 joined, set_aside, most_fd_);
     std::printf("answers: %s\n", answers_ > 100 * length_ ? "enough to tell" : "TOO FEW");
     std::printf("past the delay: %s\n", old_ == 0 ? "no old copy" : "OLD COPIES");
     std::printf("final answers: %s\n", twice_ == 0 && lost_ == 0 ? "one each" : "TWICE OR NEVER");
@@ -464,6 +465,7 @@
   std::uint64_t txns_ = 0;
   Sec began_ = 0;
   int answers_ = 0, old_ = 0, twice_ = 0, lost_ = 0, refused_ = 0, stale_meanwhile_ = 0;
+  int most_fd_ = 0;
   bool over_ = false, confirmed_ = false;
 };
 
