Every end of ours lets what was taken be answered, and reads what crosses it

Who was answered a moment ago counted as quiet since it last spoke.

One place for all of them now (Clients::end, shut, over): nothing more is taken, what was taken is answered, the answers end, and what still comes is read and dropped until the client's end or 60 ms. A client that writes slowly has its open txns first. Making room ends one and lets it leave on four descriptors that were spare beside the places; past those the longest of them goes at once. Quiet is since the last word or answer.

crossings: three of the four new stories fail with the text before (checked on it); the fourth bounds an endless sender and passes on both. refuse.net: a txn that was taken before nonsense is now answered before the close, where it was dropped; the trace asks for the answer and the close.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -34,6 +34,9 @@
   return text;
 }
 
+// For what is owed to one that does not read, once its txns are over.
+constexpr Sec kUnread = 2;
+
 }  // namespace
 
 OpenId::OpenId(Ids& ids, std::uint64_t id) : id_(id) {
@@ -46,6 +49,7 @@
                     std::string_view body) {
   constexpr std::size_t kSlow = 256 * 1024;  // one of the largest answers waits: a client that reads has less
   if (outbox_.full() && stream_.unsent() > kSlow) return stream_.close();
+  answered_ = scheduler_.now();
   if (!body.empty())
     stream_.write(words_text({tag, word, fields, body}));
   else if (!fields.empty())
@@ -74,8 +78,8 @@
   while (listener_.open()) {
     Fd fd = listener_.accept();
     if (fd) {
-      if (clients_.size() >= most_) make_room();
-      if (clients_.size() >= most_) continue;  // all have open txns: this one is closed at once
+      if (clients_.size() - leaving_ >= most_ && !make_room())
+        continue;  // all have open txns: this one is closed at once
       ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &kKernelHolds, sizeof kKernelHolds);
       auto client = std::make_shared<Client>(scheduler_, outbox_, std::move(fd));
       clients_[client.get()] = client;
@@ -94,52 +98,100 @@
   }
 }
 
-// With all places taken: those that said nothing go first, then the longest idle; one with open txns stays.
-// Guards against clients that ask once and stay, or connect by the hundred and say nothing.
-void Clients::make_room() {
+// With all places taken one comes to its end: those that said nothing first, then the longest quiet; one with
+// open txns stays. Guards against clients that ask once and stay, or connect by the hundred and say nothing.
+// While it ends its descriptor is one of a few beside the places; past those the longest of them goes at
+// once.
+bool Clients::make_room() {
   constexpr Sec kFresh = 0.2;  // one that just came may have its first request on the way
   const auto rank = [&](const Client& c) {
-    return std::pair(c.spoke_ || c.last_ > scheduler_.now() - kFresh, c.last_);
+    return std::pair(c.spoke_ || c.last_ > scheduler_.now() - kFresh, c.quiet_since());
   };
-  Client* first = nullptr;
-  for (const auto& [client, held] : clients_)
-    if (client->idle() && (first == nullptr || rank(*client) < rank(*first))) first = client;
-  if (first == nullptr) return;
-  log_("client", "closed to make room, quiet for {:.1f} s", scheduler_.now() - first->last_);
-  first->stream_.close();
-  clients_.erase(first);
+  Client *first = nullptr, *longest = nullptr;
+  for (const auto& [client, held] : clients_) {
+    if (client->phase_ == Client::Phase::open && client->idle() &&
+        (first == nullptr || rank(*client) < rank(*first)))
+      first = client;
+    if (client->phase_ == Client::Phase::shut && (longest == nullptr || client->until_ < longest->until_))
+      longest = client;
+  }
+  if (first == nullptr) return false;
+  log_("client", "closed to make room, quiet for {:.1f} s", scheduler_.now() - first->quiet_since());
+  shut(*first);
+  if (leaving_ <= kLeaving || longest == nullptr) return true;
+  longest->stream_.close();
+  clients_.erase(longest), --leaving_;
+  return true;
+}
+
+// All ends that are not the client's own go this way. Guards against a close over unread bytes, which resets
+// the connection and takes with it what the client was last sent.
+void Clients::end(Client& client) {
+  if (client.phase_ != Client::Phase::open) return;
+  client.phase_ = Client::Phase::ending;
+  client.until_ = scheduler_.now() + kUnread;
+  client.stream_.wake();
+}
+
+void Clients::shut(Client& client) {
+  constexpr Sec kCrossing = 0.06;  // as long as a request may cross the end of the answers, and a little
+  if (client.phase_ == Client::Phase::shut) return;
+  client.phase_ = Client::Phase::shut, ++leaving_;
+  client.until_ = scheduler_.now() + kCrossing;
+  client.stream_.end_writing();
+  client.stream_.wake();
+}
+
+// Whether a connection that is not open any more may be closed.
+bool Clients::over(Client& client) {
+  const Sec now = scheduler_.now();
+  if (client.phase_ == Client::Phase::ending && client.waits()) client.until_ = now + kUnread;
+  if (client.phase_ == Client::Phase::ending && client.idle()) shut(client);
+  return now >= client.until_;
 }
 
 Task Clients::connection(std::shared_ptr<Client> client) {
   // For the first message, and for the rest of one that has begun. Usual clients need a few round trips.
-  constexpr Sec kWhole = 2, kLook = 0.1;
+  constexpr Sec kWhole = 2, kLook = 0.1, kEnds = 0.02;
   constexpr int kReads = 4;  // at a time; then others have their turn
   auto& stream = client->stream_;
   struct Place {
     Clients& clients;
     Client* client;
-    ~Place() { clients.clients_.erase(client); }
+    ~Place() {
+      if (clients.clients_.erase(client) > 0 && client->phase_ == Client::Phase::shut) --clients.leaving_;
+    }
   } place{*this, client.get()};
   Sec begun = client->last_ = scheduler_.now();  // the message that has not come whole
   for (int reads = 0;;) {
     const auto came = stream.read();
-    if (came == Stream::Came::end || (came == Stream::Came::bytes && !take_requests(client))) break;
+    if (came == Stream::Came::end) break;
+    if (came == Stream::Came::bytes) take_requests(client);
     serve_held(client);
+    if (client->phase_ != Client::Phase::open && over(*client)) break;
     if (came == Stream::Came::bytes) {
       if (++reads % kReads != 0) continue;
       Event turn(scheduler_);
       co_await turn.wait(scheduler_.now());
       continue;
     }
+    if (client->phase_ != Client::Phase::open) {
+      co_await stream.readable(scheduler_.now() + kEnds);
+      continue;
+    }
     if (client->spoke_ && stream.in().empty())
       begun = kNoTime;
     else
       begun = begun == kNoTime ? scheduler_.now() : std::max(begun, client->last_);
-    const Sec look = client->held_.empty() ? kNoTime : scheduler_.now() + kLook;
-    const bool told = co_await stream.readable(std::min(begun + kWhole, look));
-    if (told || scheduler_.now() < begun + kWhole) continue;
-    log_("client", "connection closed: no whole message in {} s", kWhole);
-    break;
+    // One that is still to be answered has its answers first, and may go on writing meanwhile.
+    const bool slow = scheduler_.now() >= begun + kWhole;
+    if (slow && !client->waits()) {
+      log_("client", "connection closed: no whole message in {} s", kWhole);
+      end(*client);
+      continue;
+    }
+    const Sec look = slow || !client->held_.empty() ? scheduler_.now() + kLook : kNoTime;
+    co_await stream.readable(slow ? look : std::min(begun + kWhole, look));
   }
   stream.close();
   for (const auto& [tag, seat] : std::exchange(client->open_, {})) seat->leave();
@@ -148,30 +200,31 @@
 // Guards against a client that asks on and reads nothing: past a few of the largest answers its requests wait
 // here. They are read all the same, as it may give them up or go.
 void Clients::serve_held(const std::shared_ptr<Client>& client) {
-  constexpr std::size_t kUnread = 1 << 20;
+  constexpr std::size_t kMostUnsent = 1 << 20;
   auto& held = client->held_;
-  while (!held.empty() && !ended_ && client->stream_.unsent() <= kUnread) {
+  while (!held.empty() && !ended_ && client->stream_.unsent() <= kMostUnsent) {
     auto order = std::move(held.front());
     held.pop_front();
     serve_(client, std::move(order));
   }
 }
 
-bool Clients::take_requests(const std::shared_ptr<Client>& client) {
+void Clients::take_requests(const std::shared_ptr<Client>& client) {
   constexpr std::size_t kMostWords = 8, kMostBytes = 64 * 1024;  // a write brings up to 48,000 bytes
   Words words;
-  if (client->shut_) return client->stream_.consume(client->stream_.in().size()), true;
+  if (client->phase_ != Client::Phase::open) return client->stream_.consume(client->stream_.in().size());
   try {
     for (;;) {
       read_words(client->stream_.in(), kMostWords, kMostBytes, words);
-      if (words.used == 0) return true;
+      if (words.used == 0) return;
       request(client, words.words);
       client->stream_.consume(words.used);
       client->spoke_ = true, client->last_ = scheduler_.now();
     }
   } catch (const Malformed& e) {
     log_("client", "connection closed: {}", e.what());
-    return false;
+    client->stream_.consume(client->stream_.in().size());
+    end(*client);
   }
 }
 
@@ -262,7 +315,7 @@
 // A request that crosses the end of the answers is never read as one: its client sees that it was not taken.
 void Clients::close_idle() {
   for (const auto& [client, held] : clients_)
-    if (client->idle() && !std::exchange(client->shut_, true)) client->stream_.end_writing();
+    if (client->idle()) shut(*client);
 }
 
 }  // namespace walkpaddle::net
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -1,6 +1,7 @@
 // The clients' side: connections, what they ask, and the answers.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -56,7 +57,7 @@
 class Client {
  public:
   Client(Scheduler& scheduler, Outbox& outbox, Fd fd)
-      : outbox_(outbox), stream_(scheduler, outbox, std::move(fd)) {}
+      : scheduler_(scheduler), outbox_(outbox), stream_(scheduler, outbox, std::move(fd)) {}
   void answer(const std::string& tag, std::string_view word, std::string_view fields = {},
               std::string_view body = {});
   void opened(const std::string& tag, Seat& seat) { open_.emplace(tag, &seat); }
@@ -64,19 +65,27 @@
 
  private:
   friend class Clients;
-  bool idle() const { return open_.empty() && held_.empty() && stream_.unsent() == 0; }
+  // ending: nothing that comes is taken; what was taken is answered, and then its answers end. shut: they
+  // have; what still comes crossed that, and is read and dropped until its own end or a bound.
+  enum class Phase { open, ending, shut };
+  bool waits() const { return !open_.empty() || !held_.empty(); }
+  bool idle() const { return !waits() && stream_.unsent() == 0; }
+  Sec quiet_since() const { return std::max(last_, answered_); }
+  Scheduler& scheduler_;
   Outbox& outbox_;
   Stream stream_;
   std::unordered_map<std::string, Seat*> open_;
   std::deque<Order> held_;  // come while too much was unread: served once that is read
   bool spoke_ = false;      // at least one whole message came
-  bool shut_ = false;       // its answers have ended: what still comes crossed that
-  Sec last_ = 0;            // when it connected or last spoke
+  Phase phase_ = Phase::open;
+  Sec until_ = 0;                // of ending or shut: closed then
+  Sec last_ = 0, answered_ = 0;  // when it connected or last spoke; when it was last answered
 };
 
 class Clients {
  public:
   using Serve = std::function<void(std::shared_ptr<Client>, Order)>;
+  static constexpr std::size_t kLeaving = 4;  // past `most`, while their connections end
   // listener: what listens already.
   Clients(Scheduler& scheduler, Outbox& outbox, Log& log, Fd listener, std::size_t most,
           std::vector<RuleName> rules, Serve serve);
@@ -92,8 +101,11 @@
  private:
   Task accept_all();
   Task connection(std::shared_ptr<Client> client);
-  void make_room();
-  bool take_requests(const std::shared_ptr<Client>& client);
+  bool make_room();
+  void end(Client& client);
+  void shut(Client& client);
+  bool over(Client& client);
+  void take_requests(const std::shared_ptr<Client>& client);
   void serve_held(const std::shared_ptr<Client>& client);
   void request(const std::shared_ptr<Client>& client, const std::vector<std::string_view>& words);
   Order order_of(const std::vector<std::string_view>& words);
@@ -106,7 +118,8 @@
   OpenId::Ids open_ids_;
   Serve serve_;
   std::string alive_;
-  bool ended_ = false;  // nothing that comes is sent on any more
+  std::size_t leaving_ = 0;  // of those connected, shut
+  bool ended_ = false;       // nothing that comes is sent on any more
   Listener listener_;
   std::unordered_map<Client*, std::weak_ptr<Client>> clients_;
 };
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -38,7 +38,8 @@
 }  // namespace
 
 Router::Share::Share(int sockets, const control::File& file) {
-  // Standard streams, epoll, signals, listener, bus and its next dial, a file; spare.
+  // Standard streams, epoll, signals, listener, bus or what is held for it, a file, one just accepted, and the
+  // clients that are leaving; spare.
   int own = 14;
   // Each peer and its next connection, some strangers, operators, the store's file, lock and words.
   if (file.fleet.on && file.fleet.purges) own += 2 * static_cast<int>(file.fleet.peers.size()) + 6;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <thread>
 
 #include "net/caches.h"
@@ -552,3 +553,125 @@
     s.scheduler.stop();
   });
 }
+
+TEST_CASE(
+    "given a client whose answer is on its way, when it has to make room and writes on, then its answer "
+    "comes "
+    "whole") {
+  ClientsStand s;
+  const std::string large(200'000, 'x');
+  s.serve = [&](std::shared_ptr<Client> client, Order order) {
+    ++s.served;
+    client->answer(order.tag, "RESULT", "etag=1", large);
+  };
+  s.play([&]() -> Task {
+    const Fd c = s.connect();
+    say(c, s.exec(1));
+    Event look(s.scheduler);
+    for (const Sec since = s.scheduler.now(); s.going(since) && s.served == 0;)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    co_await look.wait(s.scheduler.now() + 0.3);  // the kernel has the answer, the client reads nothing
+    std::vector<Fd> others;
+    for (int n = 0; n < 8; ++n) others.push_back(s.connect());
+    say(c, s.exec(2));  // lies unread when its connection is closed for the last of them
+    std::string got;
+    for (const Sec since = s.scheduler.now(); s.going(since) && !got.ends_with("|");) {
+      co_await look.wait(s.scheduler.now() + 0.01);
+      const auto more = taken(c);
+      got += more;
+      if (more.empty() && got.size() > large.size()) break;
+    }
+    CHECK(got == words_text({"1", "RESULT", "etag=1", large}) + "|");
+    CHECK(s.served == 1);
+    s.scheduler.stop();
+  });
+}
+
+namespace {
+
+// Clients whose txns stay open until the story answers them.
+struct OpenStand : ClientsStand {
+  OpenStand() {
+    serve = [this](std::shared_ptr<Client> client, Order order) {
+      ++served;
+      tag = order.tag;
+      seat.emplace(desk, 0, 1, order.object_text, 0, 0, scheduler.now() + 9);
+      client->opened(tag, *seat);
+      asked = std::move(client);
+    };
+  }
+  void answer() {
+    asked->answer(tag, "RESULT", "etag=1", "one");
+    asked->over(tag);
+    asked.reset(), seat.reset();
+  }
+  const std::string answered = words_text({"1", "RESULT", "etag=1", "one"});
+  Config config = parse_config(config_text("n0", 1, 1, "", "{}"));
+  fleet::Purges purges{{}, scheduler.now()};
+  Desk desk{scheduler, 7, config.settings, purges};
+  std::string tag;
+  std::optional<Seat> seat;
+  std::shared_ptr<Client> asked;
+};
+
+}  // namespace
+
+TEST_CASE(
+    "given a client that sent nonsense behind a request, then that request is answered before the end") {
+  OpenStand s;
+  s.play([&]() -> Task {
+    const Fd c = s.connect();
+    say(c, s.exec(1) + "GET / HTTP/1.1\r\n\r\n" + s.exec(2));
+    Event look(s.scheduler);
+    for (const Sec since = s.scheduler.now(); s.going(since) && !s.asked;)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    co_await look.wait(s.scheduler.now() + 0.2);
+    CHECK_FALSE(s.seat->left());
+    s.answer();
+    std::string got;
+    for (const Sec since = s.scheduler.now(); s.going(since) && !got.ends_with("|"); got += taken(c))
+      co_await look.wait(s.scheduler.now() + 0.01);
+    CHECK(got == s.answered + "|");
+    CHECK(s.served == 1);
+    s.scheduler.stop();
+  });
+}
+
+TEST_CASE("given a client that writes slowly, when it has a txn open, then that is answered") {
+  OpenStand s;
+  s.play([&]() -> Task {
+    const Fd c = s.connect();
+    const auto next = s.exec(2);
+    say(c, s.exec(1) + next.substr(0, 20));
+    Event look(s.scheduler);
+    co_await look.wait(s.scheduler.now() + 2.4);  // past the time for a whole message
+    CHECK_FALSE(s.seat->left());
+    s.answer();
+    say(c, next.substr(20));
+    std::string got;
+    for (const Sec since = s.scheduler.now(); s.going(since) && (got.empty() || s.served < 2);
+         got += taken(c))
+      co_await look.wait(s.scheduler.now() + 0.01);
+    CHECK(got == s.answered);
+    CHECK(s.served == 2);
+    s.scheduler.stop();
+  });
+}
+
+TEST_CASE("given a client that sends nonsense without end, then its connection ends within a bound") {
+  ClientsStand s;
+  s.play([&]() -> Task {
+    const Fd c = s.connect();
+    const std::string nonsense(4096, 'x');
+    Event look(s.scheduler);
+    bool refused = false;
+    const Sec since = s.scheduler.now();
+    while (s.going(since) && !refused) {
+      refused = ::send(c.get(), nonsense.data(), nonsense.size(), MSG_NOSIGNAL) < 0 && errno != EAGAIN;
+      co_await look.wait(s.scheduler.now() + 0.005);
+    }
+    CHECK(refused);
+    CHECK(s.clients.count() == 0);
+    s.scheduler.stop();
+  });
+}
