Starts with discovery down, and ends on sites with limits of 0.4 s and 20 s, as processes

With a longest limit of 0.4, 2 and 20 s, a txn that nobody answers and one that comes 0.55 s after SIGTERM on a connection made 0.4 s after it are both answered before the platform may kill, exit code 0. The test allows the machine a second beyond that.

--- /dev/null
+++ b/tests/starts.cpp
@@ -0,0 +1,189 @@
+// Starts and planned ends of the program as processes: ready while discovery is down, and over in the time
+// that the platform gives, whatever the site's longest time limit. WALKPADDLE names the program.
+#define CATCH_CONFIG_MAIN
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fmt/core.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "net/resp.h"
+#include "platform.h"
+#include "standins/world.h"
+#include "text.h"
+
+using namespace walkpaddle;
+
+namespace {
+
+constexpr Sec kBusy = 1;  // beyond the platform's times: what a busy machine may take to run a process
+
+Sec now() { return std::chrono::duration<Sec>(std::chrono::steady_clock::now().time_since_epoch()).count(); }
+
+// Its backlog takes the first callers, and nobody ever accepts them.
+struct Deaf {
+  Deaf() : fd(listen_on(Address{INADDR_LOOPBACK, 0})), port(standins::port_of(fd.get())) {}
+  Fd fd;
+  int port;
+};
+
+struct Program {
+  Program(const std::string& name, const std::string& config, int listens) : port(listens) {
+    folder = std::filesystem::temp_directory_path() / fmt::format("walkpaddle-{}-{}", name, ::getpid());
+    std::filesystem::create_directory(folder);
+    std::ofstream(folder / "config.json") << config;
+    const char* program = std::getenv("WALKPADDLE");
+    REQUIRE(program != nullptr);
+    pid = ::fork();
+    if (pid != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
+    ::unsetenv("LB_LISTEN");
+    const int log = ::open((folder / "log").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+    ::dup2(log, 2);
+    ::execl(program, program, nullptr);
+    ::_exit(127);
+  }
+  Program(const Program&) = delete;
+  Program& operator=(const Program&) = delete;
+  ~Program() {
+    if (pid > 0) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
+    std::filesystem::remove_all(folder);
+  }
+  // Connected, or nothing while nobody listens.
+  Fd call() const {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in a{};
+    a.sin_family = AF_INET, a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) != 0) return Fd();
+    return fd;
+  }
+  bool ready() const {
+    const Fd fd = call();
+    return fd && said(fd, net::words_text({"ALIVE", "1", ""}), 1).find("\r\nREADY\r\n") != std::string::npos;
+  }
+  // All that comes for a message until its end, or that many answers.
+  static std::string said(const Fd& fd, const std::string& message, int answers, Sec most = 10) {
+    std::string all;
+    if (!message.empty() && ::send(fd.get(), message.data(), message.size(), MSG_NOSIGNAL) < 0) return all;
+    net::Words words;
+    for (const Sec until = now() + most; now() < until;) {
+      int whole = 0;
+      for (std::string_view rest = all;; ++whole) {
+        net::read_words(rest, 8, 1 << 20, words);
+        if (words.used == 0) break;
+        rest.remove_prefix(words.used);
+      }
+      if (whole >= answers) break;
+      pollfd p{fd.get(), POLLIN, 0};
+      if (::poll(&p, 1, 50) <= 0) continue;
+      char room[4096];
+      const auto got = ::recv(fd.get(), room, sizeof room, 0);
+      if (got <= 0) break;
+      all.append(room, static_cast<std::size_t>(got));
+    }
+    return all;
+  }
+  std::filesystem::path folder;
+  int port;
+  pid_t pid = -1;
+};
+
+std::string exec(int n) {
+  return net::words_text({"EXEC", std::to_string(n), "page",
+                          fmt::format("txn={:016x},limit=60000,item=7f3a9c21e0b4d655,seg=0,bucket=17", n)});
+}
+
+void put(std::string& text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  text.replace(at, from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE(
+    "given discovery that is down and much that is known, when forty start at once, then all are ready") {
+  const Deaf bus;
+  int next = standins::first_port(1);
+  std::string members, events;
+  for (int n = 0; n < 200; ++n)
+    members += fmt::format("{}{}", n > 0 ? "," : "",
+                           member_text(fmt::format("s-{:08x}", n), 9, n < 190 ? "edge" : "hub",
+                                       n < 190   ? "cache"
+                                       : n < 199 ? "parent"
+                                                 : "origin"));
+  for (int n = 0; n < 2000; ++n)
+    events += fmt::format(R"(,{{"offset":{},"ban":{{"url":"{:016x}","ts":{}}}}})", n + 2, n * 7919,
+                          1'760'000'000'000 + n);
+  std::vector<std::unique_ptr<Program>> programs;
+  const Sec started = now();
+  for (int n = 0; n < 40; ++n) {
+    const int port = standins::free_port(next);
+    auto config =
+        config_text(fmt::format("n{}", n), port, bus.port, members, R"({"sockets":512,"memory_mb":48})");
+    put(config, R"(]}}]})", R"(]}})" + events + "]}");
+    put(config, R"("known":{"offset":1)", R"("known":{"offset":2001)");
+    programs.push_back(std::make_unique<Program>(fmt::format("start{}", n), config, port));
+  }
+  int ready = 0;
+  for (const auto& p : programs) {
+    while (!p->ready() && now() < started + 30) ::usleep(10'000);
+    ready += now() < started + 10;
+  }
+  CHECK(ready >= 36);  // nine in ten
+}
+
+TEST_CASE(
+    "given a site's longest time limit, when the program is told to end, then all is answered before the "
+    "kill") {
+  const int limit_ms = GENERATE(400, 2000, 20000);
+  CAPTURE(limit_ms);
+  const Sec kill_after = std::min(3.0, limit_ms / 1e3) + 0.7;
+  const Deaf bus, cache;
+  int next = standins::first_port(2);
+  const int port = standins::free_port(next);
+  auto config = config_text("n0", port, bus.port,
+                            member_text("s-00000001", cache.port, "edge", "cache") + "," +
+                                member_text("s-00000002", cache.port, "hub", "parent") + "," +
+                                member_text("s-00000003", cache.port, "hub", "origin"),
+                            R"({"sockets":128,"memory_mb":32})");
+  put(config, R"("deadline":2000)", fmt::format(R"("deadline":{})", limit_ms));
+  put(config, R"("deadline":4000)", fmt::format(R"("deadline":{})", limit_ms));
+  Program p("end", config, port);
+  for (const Sec since = now(); !p.ready() && now() < since + 30;) ::usleep(10'000);
+  const Fd old = p.call(), fresh = p.call();
+  REQUIRE(::send(old.get(), exec(1).data(), exec(1).size(), MSG_NOSIGNAL) > 0);
+  pollfd asked{cache.fd.get(), POLLIN, 0};
+  REQUIRE(::poll(&asked, 1, 10'000) > 0);  // its hop is on its way, and nobody will answer it
+  const Sec told = now();
+  REQUIRE(::kill(p.pid, SIGTERM) == 0);
+  // As the front does: new connections for 0.4 s more, requests on them 0.2 s after that.
+  ::usleep(400'000);
+  const Fd late = p.call();
+  REQUIRE(late);
+  ::usleep(150'000);
+  REQUIRE(::send(late.get(), exec(2).data(), exec(2).size(), MSG_NOSIGNAL) > 0);
+  const auto first = p.said(old, "", 1), second = p.said(late, "", 1);
+  CHECK(first.find("$1\r\n1\r\n") != std::string::npos);
+  CHECK(second.find("$1\r\n2\r\n") != std::string::npos);
+  CHECK(now() < told + kill_after + kBusy);
+  int status = -1;
+  while (::waitpid(p.pid, &status, WNOHANG) == 0 && now() < told + kill_after + kBusy) ::usleep(5'000);
+  CHECK(WIFEXITED(status));
+  CHECK(WEXITSTATUS(status) == 0);
+  if (WIFEXITED(status)) p.pid = -1;
+}
