An end behind unread bytes is seen before a write; want of descriptors at accept has its story

Seen on reading Stream::ended(): it looks at the next byte alone. Where a resting connection holds half a line or a second answer and the peer's end behind it, the end was not seen, the hop was written, and ended as broken (may have run), which ends a txn that may not run again. The kernel is asked for the end now (POLLRDHUP) where bytes lie before it. The story forces the order in one turn; with the text before (the call taken out) it fails.

Making room when accept finds no descriptor had no test: a story takes all descriptors, then calls; with the call to make_room taken out it fails.

--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -101,7 +102,6 @@
 }
 
 void Stream::on_ready(std::uint32_t epoll_events) {
-  if ((epoll_events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) end_told_ = true;
   if ((epoll_events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) readable_.set();
   if ((epoll_events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0) {
     writable_.set();
@@ -128,10 +128,12 @@
 }
 
 bool Stream::ended() const {
-  if (broken_ || end_told_) return true;
+  if (broken_) return true;
   char next = 0;
   const auto got = ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+  if (got <= 0) return got == 0 || (errno != EAGAIN && errno != EINTR);
+  pollfd end{fd_.get(), POLLRDHUP, 0};
+  return ::poll(&end, 1, 0) > 0;
 }
 
 void Stream::consume(std::size_t bytes) { in_from_ += bytes; }
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -66,7 +66,7 @@
 
   enum class Came { bytes, nothing, end };
   Came read();  // takes what the kernel holds, within a bound a call
-  // The other side's end has come, whether read or not: told by the kernel, or next to be read.
+  // The other side's end has come, whether read or not, also behind bytes that are unread.
   bool ended() const;
   std::string_view in() const { return {in_.data() + in_from_, in_.size() - in_from_}; }
   void consume(std::size_t bytes);
@@ -97,7 +97,7 @@
   std::string in_, out_;
   std::size_t in_from_ = 0, out_from_ = 0;
   std::uint64_t written_ = 0, handed_ = 0;
-  bool queued_ = false, blocked_ = false, broken_ = false, end_told_ = false;
+  bool queued_ = false, blocked_ = false, broken_ = false;
 };
 
 }  // namespace walkpaddle
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -323,6 +323,33 @@
   });
 }
 
+TEST_CASE(
+    "given a resting connection with half a line and its end unread, when a hop follows, then it is not "
+    "written there") {
+  CachesStand s;
+  const Ear ear;
+  s.play([&]() -> Task {
+    const int m = s.member("s-1", ear.address);
+    const auto hop = s.hop(m, 1);
+    Event look(s.scheduler);
+    Fd first, second;
+    for (const Sec since = s.scheduler.now(); s.going(since) && !(first = ear.accept());)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    say(first, words_text({id_of(1), "served", "etag=1", "one"}));
+    for (const Sec since = s.scheduler.now(); s.going(since) && !hop->ended();)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    taken(first);
+    say(first, "*4\r\n$16");
+    first = Fd();
+    const auto next = s.hop(m, 2);  // in the same turn
+    for (const Sec since = s.scheduler.now(); s.going(since) && !next->ended() && !(second = ear.accept());)
+      co_await look.wait(s.scheduler.now() + 0.01);
+    CHECK_FALSE(next->ended());
+    CHECK(second);
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given an answer that trickles, then its connection ends") {
   CachesStand s;
   const Ear ear;
@@ -792,3 +819,36 @@
     s.scheduler.stop();
   });
 }
+
+TEST_CASE("given no descriptor for who comes, then an idle client makes room for it") {
+  ClientsStand s;
+  rlimit before{};
+  ::getrlimit(RLIMIT_NOFILE, &before);
+  s.play([&]() -> Task {
+    const Fd idle = s.connect();
+    say(idle, words_text({"ALIVE", "1", ""}));
+    Event look(s.scheduler);
+    std::string got;
+    for (const Sec since = s.scheduler.now(); s.going(since) && got.empty(); got = taken(idle))
+      co_await look.wait(s.scheduler.now() + 0.01);
+    const Fd comes(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in a{};
+    a.sin_family = AF_INET, a.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    a.sin_port = htons(s.ear.address.port);
+    const rlimit tight{64, before.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &tight);
+    std::vector<Fd> all;
+    while (Fd fd{::open("/dev/null", O_RDONLY)}) all.push_back(std::move(fd));
+    CHECK(::connect(comes.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) == 0);
+    ::fcntl(comes.get(), F_SETFL, O_NONBLOCK);
+    say(comes, words_text({"ALIVE", "2", ""}));
+    got.clear();
+    for (const Sec since = s.scheduler.now(); s.scheduler.now() < since + 2 && got.empty();
+         got = taken(comes))
+      co_await look.wait(s.scheduler.now() + 0.01);
+    CHECK(got == words_text({"2", "UNREADY"}));
+    CHECK(taken(idle) == "|");
+    s.scheduler.stop();
+  });
+  ::setrlimit(RLIMIT_NOFILE, &before);
+}
