A word to reload that crosses a start is held until the router takes it; before, it ended the start

Found on reading main.cpp and router.cpp: SIGHUP, SIGTERM and SIGINT were blocked only when the Router's members were made, after the configuration had been read and parsed. A SIGHUP before that has its default action, so a restart that crosses a new configuration ends the process, which the platform counts as a crash. They are held from the first line of run() on. The test's configuration is a pipe, so that the program stands in its start when the word comes: the text before dies, every time; now it starts and follows the bus that the file names by then. What is left is the time of the dynamic loader.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -80,6 +80,7 @@
 }
 
 void run(const std::string& file, const std::string& log_form) {
+  net::Router::hold_signals();
   const char* path = std::getenv("LB_CONFIG");
   if (path == nullptr) throw Malformed("LB_CONFIG is not set");
   const auto read = [path] {
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -38,8 +38,8 @@
 }  // namespace
 
 Router::Share::Share(int sockets, const control::File& file) {
-  // Standard streams, epoll, signals, listener, bus or what is held for it, a file, one just accepted, and the
-  // clients that are leaving; spare.
+  // Standard streams, epoll, signals, listener, bus or what is held for it, a file, one just accepted, and
+  // the clients that are leaving; spare.
   int own = 14;
   // Each peer and its next connection, some strangers, operators, the store's file, lock and words.
   if (file.fleet.on && file.fleet.purges) own += 2 * static_cast<int>(file.fleet.peers.size()) + 6;
@@ -51,13 +51,25 @@
   caches = static_cast<std::size_t>(std::max(2, sockets - own - (sockets - own) / 2));
 }
 
-Router::Signals::Signals(Scheduler& s) : scheduler(s), came(s) {
+namespace {
+
+sigset_t heeded() {
   sigset_t set;
   sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
-  sigaddset(&set, SIGHUP);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&set, signal);
+  return set;
+}
+
+}  // namespace
+
+void Router::hold_signals() {
+  const auto set = heeded();
   sigprocmask(SIG_BLOCK, &set, nullptr);
+}
+
+Router::Signals::Signals(Scheduler& s) : scheduler(s), came(s) {
+  const auto set = heeded();
+  hold_signals();
   fd = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!fd) throw std::system_error(errno, std::generic_category(), "signalfd");
   scheduler.watch(fd.get(), *this);
--- a/src/net/router.h
+++ b/src/net/router.h
@@ -33,6 +33,9 @@
   // What the operator's file switches on stands beside what the platform tells.
   Router(Config config, const control::File& file, std::function<Config()> read_again, Log& log);
   ~Router();
+  // They wait until a router takes them. To be called first of all: until then a word to reload that crosses
+  // a start would end the program.
+  static void hold_signals();
   void run();  // returns once stopped
   // A program that is to take this process's place, once run() has returned: listening on `listener`.
   struct Next {
@@ -75,7 +78,7 @@
   };
 
   void enter(Phase phase);
-  bool reload();  // false: the file cannot be used now
+  bool reload();        // false: the file cannot be used now
   void take_over();     // what the last start learnt, where a file is named
   void leave_learnt();  // for the next
   Task live();
--- a/tests/starts.cpp
+++ b/tests/starts.cpp
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -40,10 +41,14 @@
 };
 
 struct Program {
+  // Without a configuration its file is a pipe, in which the start waits.
   Program(const std::string& name, const std::string& config, int listens) : port(listens) {
     folder = std::filesystem::temp_directory_path() / fmt::format("walkpaddle-{}-{}", name, ::getpid());
     std::filesystem::create_directory(folder);
-    std::ofstream(folder / "config.json") << config;
+    if (config.empty())
+      REQUIRE(::mkfifo((folder / "config.json").c_str(), 0600) == 0);
+    else
+      std::ofstream(folder / "config.json") << config;
     const char* program = std::getenv("WALKPADDLE");
     REQUIRE(program != nullptr);
     pid = ::fork();
@@ -187,3 +192,26 @@
   CHECK(WEXITSTATUS(status) == 0);
   if (WIFEXITED(status)) p.pid = -1;
 }
+
+TEST_CASE(
+    "given a start that reads its configuration, when it is told to reload, then it starts and reloads") {
+  const Deaf before, after;
+  int next = standins::first_port(3);
+  const int port = standins::free_port(next);
+  Program p("word", "", port);
+  const auto path = p.folder / "config.json";
+  Fd pipe(::open(path.c_str(), O_WRONLY | O_CLOEXEC));  // until the program reads
+  REQUIRE(pipe);
+  REQUIRE(::kill(p.pid, SIGHUP) == 0);
+  // What stands in the file from now on names another bus.
+  std::ofstream(p.folder / "new") << config_text("n0", port, after.port, "",
+                                                 R"({"sockets":64,"memory_mb":16})");
+  std::filesystem::rename(p.folder / "new", path);
+  const auto text = config_text("n0", port, before.port, "", R"({"sockets":64,"memory_mb":16})");
+  REQUIRE(::write(pipe.get(), text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+  pipe = Fd();
+  for (const Sec since = now(); !p.ready() && now() < since + 10;) ::usleep(10'000);
+  CHECK(p.ready());
+  pollfd called{after.fd.get(), POLLIN, 0};
+  CHECK(::poll(&called, 1, 10'000) > 0);
+}
