A log that nobody reads stops no router, and a reader that goes ends none

Found on reading io/log.cpp for what can stop the one thread: a line is written to standard error and waits for it. With a reader that stands still the pipe fills and the router stands still with it; with one that is gone the line is a SIGPIPE and the end. Now a line that would wait is left out and counted with those past the bound, and SIGPIPE is ignored. Both orders are forced with a pipe of 4 KB as the log; with the text before both fail.

--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -1,8 +1,10 @@
 #include "io/log.h"
 
+#include <poll.h>
 #include <spdlog/logger.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -15,6 +17,12 @@
 // What tells of the router's own course; all other kinds tell of something that went wrong.
 constexpr std::string_view kCourse[] = {"start", "phase", "reload", "purge"};
 
+// A pipe whose reader stands still is full at some time. Guards against a router that stands still with it.
+bool would_block() {
+  pollfd out{STDERR_FILENO, POLLOUT, 0};
+  return ::poll(&out, 1, 0) == 0;
+}
+
 }  // namespace
 
 Log::Log(std::string name, Form form) : name_(std::move(name)), form_(form) {
@@ -36,7 +44,7 @@
   if (it == kinds_.end()) it = kinds_.emplace(std::string(kind), Kind{}).first;
   auto& k = it->second;
   if (k.second != second) k.second = second, k.lines = 0;
-  if (++k.lines > kASecond) return ++k.left_out, -1;
+  if (++k.lines > kASecond || would_block()) return ++k.left_out, -1;
   return std::exchange(k.left_out, 0);
 }
 
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -1,6 +1,6 @@
 // Lines to standard error, by spdlog: as text, or as JSON objects of one line (time, level, part, event,
-// fields). Lines of one kind are bounded: past a few a second they are counted, and the count stands in the
-// next one that is written.
+// fields). Lines of one kind are bounded: past a few a second, and while nobody reads what was written, they
+// are counted, and the count stands in the next one that is written.
 #pragma once
 
 #include <fmt/core.h>
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -65,6 +65,7 @@
 void Router::hold_signals() {
   const auto set = heeded();
   sigprocmask(SIG_BLOCK, &set, nullptr);
+  ::signal(SIGPIPE, SIG_IGN);  // who reads the log may go
 }
 
 Router::Signals::Signals(Scheduler& s) : scheduler(s), came(s) {
--- a/tests/starts.cpp
+++ b/tests/starts.cpp
@@ -42,7 +42,8 @@
 
 struct Program {
   // Without a configuration its file is a pipe, in which the start waits.
-  Program(const std::string& name, const std::string& config, int listens) : port(listens) {
+  // log: where its lines go, a file if none is given.
+  Program(const std::string& name, const std::string& config, int listens, int log = -1) : port(listens) {
     folder = std::filesystem::temp_directory_path() / fmt::format("walkpaddle-{}-{}", name, ::getpid());
     std::filesystem::create_directory(folder);
     if (config.empty())
@@ -56,8 +57,7 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
     ::unsetenv("LB_LISTEN");
-    const int log = ::open((folder / "log").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
-    ::dup2(log, 2);
+    ::dup2(log >= 0 ? log : ::open((folder / "log").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600), 2);
     ::execl(program, program, nullptr);
     ::_exit(127);
   }
@@ -215,3 +215,33 @@
   pollfd called{after.fd.get(), POLLIN, 0};
   CHECK(::poll(&called, 1, 10'000) > 0);
 }
+
+TEST_CASE("given a reader of the log that goes, or stands still, then the program goes on") {
+  const bool goes = GENERATE(true, false);
+  CAPTURE(goes);
+  const Deaf bus;
+  int next = standins::first_port(4), ends[2];
+  const int port = standins::free_port(next);
+  REQUIRE(::pipe2(ends, O_CLOEXEC) == 0);
+  Fd reader(ends[0]), writer(ends[1]);
+  ::fcntl(writer.get(), F_SETPIPE_SZ, 4096);
+  Program p("log", config_text("n0", port, bus.port, "", R"({"sockets":64,"memory_mb":16})"), port,
+            writer.get());
+  for (const Sec since = now(); !p.ready() && now() < since + 10;) ::usleep(10'000);
+  writer = Fd();
+  if (goes) reader = Fd();
+  // Each is answered and logged, five lines a second: some seconds fill what nobody reads.
+  const Fd c = p.call();
+  std::string got;
+  for (int n = 1; n <= 16 && (n == 1 || !got.empty()); ++n) {
+    std::string all;
+    for (int m = 0; m < 5; ++m)
+      all += net::words_text({"EXEC", std::to_string(10 * n + m), "page", "txn=" + std::string(200, 'x')});
+    got = p.said(c, all, 5, 5);
+    if (!goes) ::usleep(500'000);
+  }
+  CHECK_FALSE(got.empty());
+  CHECK(p.ready());
+  int status = 0;
+  CHECK(::waitpid(p.pid, &status, WNOHANG) == 0);
+}
