still_good for a copy that the client does not hold is no answer

Found on reading txn.cpp give(): any still_good was passed on as notmod=1, also where the server names another tag than the client's or the client has no copy. Now it counts as an error (it may have run), the txn goes on elsewhere, and the line says who answered so. other_copy.net forces both; with the text before, notmod=1 is answered and nobody else is asked.

--- a/src/net/txn.cpp
+++ b/src/net/txn.cpp
@@ -78,6 +78,12 @@
       if (!told) hop.time_came();
     }
     auto& end = hop.end();
+    // Guards against a copy that is called current though the server named another, or the client has none.
+    if (end.still_good && (order.etag.empty() || end.etag != order.etag)) {
+      log("answer", "{}: still_good for '{}' where the client has '{}'", caches.id(d->member), end.etag,
+          order.etag);
+      end.verdict = Verdict::error, end.still_good = false;
+    }
     // A hop under way when a purge came, or a cache that confirmed and answers old all the same: not this
     // answer.
     if (end.verdict == Verdict::completed && desk.purges().sync() != nullptr && !order.uncacheable) {
