Tests side by side share no ports, UDP ones neither; plays of changes tell why they failed

Seen: change_settings failed in a run of all tests, five at a time, on its first line, one router away for the whole play; six of six plays held after it. Cause: a laboratory asked for the port of its routers' datagrams by listening on it with TCP, which says nothing of UDP, and two of them start 97 ports apart by process number, so numbers 103 apart overlap by nine. A router that finds its port taken ends and is started again without end. Forced: with another process on every third UDP port from 20000 on, the text before has routers that started 40 times in 8 s (datagrams on 127.0.0.1:26861: Address already in use) and breaks the same line; now it holds. In the failed run itself the logs were gone; it fits, that is all.

Ports come in blocks that a test process owns by listening on their first one; each is tried with TCP and UDP. One class for the laboratory, fleet_sockets, the scripts and starts, in place of three functions. A play of changes that fails prints what each router says and the end of its log.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -55,10 +55,9 @@
   for (auto& s : boxes_) s->know(all);
   for (int n = 0; n < setup_.objects; ++n) boxes_.back()->change(object_name(n), {});
   routers_.resize(static_cast<std::size_t>(setup_.routers));
-  int next = standins::first_port(static_cast<unsigned>(chance_()));
   for (auto& r : routers_) {
-    r.port = standins::free_port(next);
-    r.fleet_port = standins::free_port(next);
+    r.port = ports_.take();
+    r.fleet_port = ports_.take();
     r.bus.listener = listen_on(Address{kLoopback, 0});
     r.bus.port = standins::port_of(r.bus.listener.get());
   }
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -96,6 +96,7 @@
   const Setup setup_;
   std::mt19937 chance_;
   const char* program_;
+  standins::Ports ports_;
   std::string folder_;
   Scheduler scheduler_;
   Outbox outbox_;
--- a/standins/world.cpp
+++ b/standins/world.cpp
@@ -25,24 +25,30 @@
 
 }  // namespace
 
-int free_port(int& next) {
-  constexpr int kFirst = 20000, kLast = 32000;
-  for (int tries = 0; tries < kLast - kFirst; ++tries) {
-    const int port = next;
-    next = next + 1 >= kLast ? kFirst : next + 1;
+int Ports::take() {
+  constexpr int kFirst = 20000, kBlock = 50, kBlocks = 240;
+  const auto free = [](int port) {
     try {
-      listen_on(Address{kLoopback, static_cast<std::uint16_t>(port)});
-      return port;
+      const Address at{kLoopback, static_cast<std::uint16_t>(port)};
+      listen_on(at), datagrams_on(at);
+      return true;
     } catch (const std::system_error&) {
+      return false;
+    }
+  };
+  for (int tries = 0; tries < kBlocks;) {
+    while (next_ < end_)
+      if (const int port = next_++; free(port)) return port;
+    const int first = kFirst + kBlock * ((::getpid() + tries++) % kBlocks);
+    try {
+      claims_.push_back(listen_on(Address{kLoopback, static_cast<std::uint16_t>(first)}));
+      next_ = first + 1, end_ = first + kBlock;
+    } catch (const std::system_error&) {  // another's block
     }
   }
   throw std::runtime_error("no port free from 20000 to 32000");
 }
 
-int first_port(unsigned chance) {
-  return 20000 + (static_cast<int>(chance % 10000) + 97 * ::getpid()) % 10000;
-}
-
 int port_of(int fd) {
   sockaddr_in a{};
   socklen_t size = sizeof a;
--- a/standins/world.h
+++ b/standins/world.h
@@ -20,11 +20,18 @@
 
 int port_of(int fd);
 
-// A port for a process to listen on, below the kernel's range for outgoing connections (32768 on), so that no
-// connection of another takes it between this look and the process's start, or between two starts of it; from
-// `next` on, which moves past it.
-int free_port(int& next);
-int first_port(unsigned chance);  // where to look first: by process, so that two tests look apart
+// Ports for processes to listen on, TCP and UDP, below the kernel's range for outgoing connections (32768
+// on), so that no connection of another takes one between two starts. They come in blocks; a test process
+// owns its blocks by listening on their first port for as long as it lives, so that two tests side by side
+// share none.
+class Ports {
+ public:
+  int take();
+
+ private:
+  std::vector<Fd> claims_;
+  int next_ = 0, end_ = 0;
+};
 
 struct Copy {
   int version = 0;
--- a/tests/change_sockets.cpp
+++ b/tests/change_sockets.cpp
@@ -72,6 +72,14 @@
       if (logged(n, line)) return true;
     return false;
   }
+  // Why something does not hold: what each router says, and the end of its log.
+  void tell_all() const {
+    for (int n = 0; n < kRouters; ++n) {
+      const auto log = fleet.log_of(n);
+      std::fprintf(stderr, "-- r%d, started %d times: %s%s\n", n, fleet.starts(n), word(n).c_str(),
+                   log.substr(log.size() - std::min<std::size_t>(log.size(), 1500)).c_str());
+    }
+  }
   struct Sums {
     int asked = 0, answered = 0, refused = 0, unsent = 0;
   };
@@ -89,6 +97,7 @@
     Event e(s);
     const auto pause = [&](Sec t) { return e.wait(s.now() + t); };
     co_await pause(8);  // routers vote for nobody before their lease has passed once
+    if (!all_say("runs g1, the fleet stands at g1; its calendar is current")) tell_all();
     say("eight routers stand at g1, their calendars current",
         all_say("runs g1, the fleet stands at g1; its calendar is current"));
 
@@ -120,7 +129,7 @@
         if (n != a && n != b) fleet.cut(away, n, 0);
     for (const Sec until = s.now() + 90; s.now() < until && !all_say("runs g2, the fleet stands at g2");)
       co_await pause(0.5);
-    if (!idle) std::fprintf(stderr, "%s%s", word(a).c_str(), word(b).c_str());
+    if (!idle || !all_say("runs g2, the fleet stands at g2")) tell_all();
     say("two cut off through a stage drive nothing, and all come to g2",
         idle && all_say("runs g2, the fleet stands at g2"));
     int moves = 0;
@@ -184,8 +193,7 @@
     for (const Sec until = s.now() + 200;
          s.now() < until && !all_say("runs present, the fleet stands at present");)
       co_await pause(0.5);
-    for (int n = 0; n < kRouters && !all_say("runs present, the fleet stands at present"); ++n)
-      std::fprintf(stderr, "%s", word(n).c_str());
+    if (!all_say("runs present, the fleet stands at present")) tell_all();
     say("a release goes through, each process making way for the next in its place",
         all_say("runs present, the fleet stands at present"));
     bool once = true, same = true;
--- a/tests/fleet_sockets.cpp
+++ b/tests/fleet_sockets.cpp
@@ -78,8 +78,7 @@
     for (auto& s : servers_) s->know(all);
     for (int n = 0; n < kObjects; ++n) origin().change(object_name(n), tags_of(n));
     routers_.resize(kRouters);
-    int next = standins::first_port(seed);
-    for (auto& r : routers_) r.port = standins::free_port(next), r.fleet_port = standins::free_port(next);
+    for (auto& r : routers_) r.port = ports_.take(), r.fleet_port = ports_.take();
     for (int a = 0; a < kRouters; ++a)
       for (int b = a + 1; b < kRouters; ++b)
         relays_[{a, b}] = std::make_unique<Relay>(scheduler_, outbox_, routers_[b].fleet_port);
@@ -458,6 +457,7 @@
   Scheduler scheduler_;
   Outbox outbox_;
   const char* program_ = nullptr;
+  standins::Ports ports_;
   std::string folder_;
   std::vector<std::unique_ptr<Server>> servers_;
   std::vector<Router> routers_;
--- a/tests/starts.cpp
+++ b/tests/starts.cpp
@@ -123,7 +123,7 @@
 TEST_CASE(
     "given discovery that is down and much that is known, when forty start at once, then all are ready") {
   const Deaf bus;
-  int next = standins::first_port(1);
+  standins::Ports ports;
   std::string members, events;
   for (int n = 0; n < 200; ++n)
     members += fmt::format("{}{}", n > 0 ? "," : "",
@@ -137,7 +137,7 @@
   std::vector<std::unique_ptr<Program>> programs;
   const Sec started = now();
   for (int n = 0; n < 40; ++n) {
-    const int port = standins::free_port(next);
+    const int port = ports.take();
     auto config =
         config_text(fmt::format("n{}", n), port, bus.port, members, R"({"sockets":512,"memory_mb":48})");
     put(config, R"(]}}]})", R"(]}})" + events + "]}");
@@ -159,8 +159,8 @@
   CAPTURE(limit_ms);
   const Sec kill_after = std::min(3.0, limit_ms / 1e3) + 0.7;
   const Deaf bus, cache;
-  int next = standins::first_port(2);
-  const int port = standins::free_port(next);
+  standins::Ports ports;
+  const int port = ports.take();
   auto config = config_text("n0", port, bus.port,
                             member_text("s-00000001", cache.port, "edge", "cache") + "," +
                                 member_text("s-00000002", cache.port, "hub", "parent") + "," +
@@ -196,8 +196,8 @@
 TEST_CASE(
     "given a start that reads its configuration, when it is told to reload, then it starts and reloads") {
   const Deaf before, after;
-  int next = standins::first_port(3);
-  const int port = standins::free_port(next);
+  standins::Ports ports;
+  const int port = ports.take();
   Program p("word", "", port);
   const auto path = p.folder / "config.json";
   Fd pipe(::open(path.c_str(), O_WRONLY | O_CLOEXEC));  // until the program reads
@@ -220,8 +220,9 @@
   const bool goes = GENERATE(true, false);
   CAPTURE(goes);
   const Deaf bus;
-  int next = standins::first_port(4), ends[2];
-  const int port = standins::free_port(next);
+  standins::Ports ports;
+  int ends[2];
+  const int port = ports.take();
   REQUIRE(::pipe2(ends, O_CLOEXEC) == 0);
   Fd reader(ends[0]), writer(ends[1]);
   ::fcntl(writer.get(), F_SETPIPE_SZ, 4096);
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -28,6 +28,7 @@
 #include "net/resp.h"
 #include "platform.h"
 #include "purge/cover.h"
+#include "standins/world.h"
 #include "text.h"
 
 // Last: it makes macros of "true" and "false".
@@ -254,17 +255,6 @@
     return fd;
   }
 
-  // Below the kernel's range for outgoing connections: none takes it between this look and the router's
-  // start.
-  static int free_port(int from) {
-    for (int port = from; port < from + 500; ++port) try {
-        listen_on(Address{INADDR_LOOPBACK, static_cast<std::uint16_t>(port)});
-        return port;
-      } catch (const std::system_error&) {
-      }
-    fail("port");
-  }
-
   static Fd connect_to(int port) {
     for (int n = 0; n < 500; ++n, ::usleep(10000)) {
       Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -491,13 +481,13 @@
     for (std::string name; in >> name;) list += listed(name, "edge", "cache") + ",";
     list += listed("par", "hub", "parent") + "," + listed("origin", "hub", "origin");
     bus_.fd = listen_at(bus_.port);
-    port_ = free_port(20000 + 97 * ::getpid() % 10000);
+    port_ = ports_.take();
     config_ = config_text("n0", port_, bus_.port, list,
                           with_dns ? R"({"sockets":80,"memory_mb":8})" : R"({"sockets":40,"memory_mb":3})");
     folder_ = std::filesystem::temp_directory_path() / ("walkpaddle-" + std::to_string(::getpid()));
     std::filesystem::create_directory(folder_);
     std::ofstream(folder_ / "config.json") << config_;
-    dns_port_ = free_port(port_ + 1);
+    dns_port_ = ports_.take();
     if (with_dns)
       std::ofstream(folder_ / "walkpaddle.conf")
           << "dns {\n listen = \"127.0.0.1:" << dns_port_
@@ -581,6 +571,7 @@
   }
 
   pid_t router_ = -1;
+  standins::Ports ports_;
   int port_ = 0, dns_port_ = 0, event_ = 1;
   bool with_file_ = false, log_kept_ = false;
   std::filesystem::path folder_;
