The bus's bytes have one place in the stand-ins; crossings wait by one word

Frames and records of the event bus were written out in the laboratory, the scripts and the new stories; standins/bus holds them once. The stories' waits for what must come are one macro, which takes the same condition and bound.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -25,12 +25,6 @@
 
 constexpr std::uint32_t kLoopback = 0x7f000001;
 
-std::string big_end(std::uint64_t value, int bytes) {
-  std::string out;
-  for (int n = bytes - 1; n >= 0; --n) out += static_cast<char>(value >> (8 * n) & 255);
-  return out;
-}
-
 std::string object_name(int n) { return fmt::format("{:016x}", 0x2000 + n); }
 
 std::string box_id(int n) { return fmt::format("s-{:08x}", 0xb0 + n); }
@@ -73,17 +67,14 @@
   std::filesystem::remove_all(folder_);
 }
 
-std::string Fleet::member(int box, int state, Sec started) const {
+std::string Fleet::member(int box, Says state, Sec started) const {
   const auto& s = *boxes_[static_cast<std::size_t>(box)];
   const bool edge = box < setup_.boxes;
-  return big_end(std::stoul(s.id().substr(2), nullptr, 16), 4) + big_end(kLoopback, 4) +
-         big_end(static_cast<unsigned>(s.port()), 2) + big_end(static_cast<unsigned>(state), 1) +
-         big_end(edge ? 1 : 0, 1) +
-         big_end(edge                  ? 0
-                 : box == setup_.boxes ? 1
-                                       : 2,
-                 1) +
-         big_end(0, 2) + big_end(1000, 4) + big_end(static_cast<std::uint64_t>(started * 1e3), 8);
+  return standins::member_record(std::stoul(s.id().substr(2), nullptr, 16), s.port(), state, edge ? 1 : 0,
+                                 edge                  ? 0
+                                 : box == setup_.boxes ? 1
+                                                       : 2,
+                                 static_cast<std::uint64_t>(started * 1e3));
 }
 
 void Fleet::write_files(int n) {
@@ -203,13 +194,12 @@
 void Fleet::cut(int a, int b, Sec until) { switch_.cut(a, b, until), switch_.cut(b, a, until); }
 
 void Fleet::says(int router, int box, Says state, Sec started) {
-  frame(router, 2, member(box, static_cast<int>(state), started));
+  frame(router, 2, member(box, state, started));
 }
 
 void Fleet::frame(int n, int kind, const std::string& payload) {
   auto& bus = routers_[static_cast<std::size_t>(n)].bus;
-  bus.events.push_back(big_end(9 + payload.size(), 4) + big_end(bus.events.size() + 2, 8) +
-                       big_end(static_cast<unsigned>(kind), 1) + payload);
+  bus.events.push_back(standins::frame_text(bus.events.size() + 2, kind, payload));
   if (bus.stream) bus.stream->write(bus.events.back());
 }
 
@@ -265,7 +255,7 @@
     }
     if (bus.stream) {
       while (bus.stream->read() == Stream::Came::bytes) bus.stream->consume(bus.stream->in().size());
-      bus.stream->write(big_end(9, 4) + big_end(bus.events.size() + 1, 8) + big_end(0, 1));
+      bus.stream->write(standins::frame_text(bus.events.size() + 1, 0, ""));
     }
     co_await wait.wait(scheduler_.now() + 0.05);
   }
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -14,6 +14,7 @@
 
 #include "io/stream.h"
 #include "lab/switch.h"
+#include "standins/bus.h"
 #include "standins/world.h"
 
 namespace walkpaddle::lab {
@@ -58,7 +59,7 @@
   void cut(int a, int b, Sec until);  // both ways between two routers; 0 heals it
   Switch& links() { return switch_; }
   // What one router's bus says: a box drains, is ready, is gone, or started anew at `started` (Unix time).
-  enum class Says { ready, draining, gone };
+  using Says = standins::Says;
   void says(int router, int box, Says state, Sec started = 0);
 
   int served(int box) const { return boxes_[static_cast<std::size_t>(box)]->counts().served; }
@@ -88,7 +89,7 @@
   void write_files(int n);
   std::string site_of(int n) const;
   void frame(int router, int kind, const std::string& payload);
-  std::string member(int box, int state, Sec started) const;
+  std::string member(int box, Says state, Sec started) const;
   Task follow(int router);
   Task supervise();
   Task clients_of(int router, double rate);
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -17,10 +17,17 @@
 #include "net/list.h"
 #include "net/resp.h"
 #include "platform.h"
+#include "standins/bus.h"
 #include "text.h"
 
 using namespace walkpaddle;
 using namespace walkpaddle::net;
+using namespace walkpaddle::standins;
+
+// For what must come, in a story that is a task of `s`.
+#define UNTIL(what)                                                     \
+  for (const Sec since = s.scheduler.now(); s.going(since) && !(what);) \
+  co_await s.look.wait(s.scheduler.now() + 0.01)
 
 namespace {
 
@@ -69,6 +76,7 @@
   Log log{"crossing"};
   Scheduler scheduler;
   Outbox outbox{scheduler, 64 << 20};
+  Event look{scheduler};
 
   // A story is one task, which stops the scheduler at its end.
   template <class F>
@@ -132,8 +140,7 @@
   ClientsStand()
       : clients(scheduler, outbox, log, std::move(ear.fd), 8, {{.name = "page"}},
                 [this](std::shared_ptr<Client> c, Order o) { serve(std::move(c), std::move(o)); }) {}
-  Fd connect() {
-    Fd fd(::socket(AF_INET, SOCK_STREAM, 0));
+  Fd connect(Fd fd = Fd(::socket(AF_INET, SOCK_STREAM, 0))) {
     const int room = 4096;
     ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &room, sizeof room);
     sockaddr_in a{};
@@ -158,18 +165,16 @@
   Jam s;
   s.play([&]() -> Task {
     s.fill();
-    Event look(s.scheduler);
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(s.peer = s.ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
-    co_await look.wait(s.scheduler.now() + 0.2);
+    UNTIL(s.peer = s.ear.accept());
+    co_await s.look.wait(s.scheduler.now() + 0.2);
     s.hops.back()->drop();
     CHECK(s.hops.back()->end().verdict == Verdict::not_sent);
     std::string all;
     for (const Sec since = s.scheduler.now(); s.going(since) && !s.asked(all, s.kHops - 2);) {
       all += s.reads();
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
     }
-    co_await look.wait(s.scheduler.now() + 0.1);
+    co_await s.look.wait(s.scheduler.now() + 0.1);
     all += s.reads();
     CHECK(s.asked(all, s.kHops - 2));  // those round it are whole
     CHECK_FALSE(s.asked(all, s.kHops - 1));
@@ -181,10 +186,8 @@
   Jam s;
   s.play([&]() -> Task {
     s.fill();
-    Event look(s.scheduler);
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(s.peer = s.ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
-    co_await look.wait(s.scheduler.now() + 0.2);
+    UNTIL(s.peer = s.ear.accept());
+    co_await s.look.wait(s.scheduler.now() + 0.2);
     s.member("s-1", s.ear.address, Listed::draining);
     int unsent = 0;
     for (const auto& h : s.hops) unsent += h->ended() && h->end().verdict == Verdict::not_sent;
@@ -192,7 +195,7 @@
     std::string all;
     for (const Sec since = s.scheduler.now(); s.scheduler.now() < since + 1;) {
       all += s.reads();
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
     }
     for (int n = 0; n < s.kHops; ++n) {
       auto& h = *s.hops[static_cast<std::size_t>(n)];
@@ -208,8 +211,7 @@
   s.play([&]() -> Task {
     // A queue of none that one connection fills: the next comes up once that is accepted, and asks again.
     const Fd first = dial(full.address);
-    Event look(s.scheduler);
-    co_await look.wait(s.scheduler.now() + 0.1);
+    co_await s.look.wait(s.scheduler.now() + 0.1);
     const int m = s.member("s-1", full.address);
     const Sec by = s.scheduler.now() + 0.3;
     const auto hop = s.hop(m, 1, by);
@@ -224,7 +226,7 @@
     for (const Sec since = s.scheduler.now(); s.scheduler.now() < since + 2;) {
       if (Fd fd = full.accept()) accepted.push_back(std::move(fd));
       for (const auto& fd : accepted) all += taken(fd);
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
     }
     CHECK(accepted.size() == 2);  // it did come up
     CHECK(all.find(id_of(1)) == std::string::npos);
@@ -239,30 +241,24 @@
   s.play([&]() -> Task {
     const int m = s.member("s-1", ear.address);
     auto hop = s.hop(m, 1);
-    Event look(s.scheduler);
     Fd first, second;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(first = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(first = ear.accept());
     const auto overload = words_text({id_of(1), "overload", "-", ""});
     std::string asked;
-    for (const Sec since = s.scheduler.now(); s.going(since) && asked.empty(); asked = taken(first))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(!(asked = taken(first)).empty());
     say(first, overload);
-    for (const Sec since = s.scheduler.now(); s.going(since) && !hop->ended();)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(hop->ended());
     CHECK(hop->end().verdict == Verdict::not_taken);
     hop = s.hop(m, 1);
-    co_await look.wait(s.scheduler.now() + 0.05);
+    co_await s.look.wait(s.scheduler.now() + 0.05);
     say(first, overload);
-    co_await look.wait(s.scheduler.now() + 0.1);
+    co_await s.look.wait(s.scheduler.now() + 0.1);
     CHECK_FALSE(hop->ended());
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(second = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(second = ear.accept());
     CHECK(second);
     if (!second) co_return s.scheduler.stop();
     say(second, words_text({id_of(1), "served", "etag=1", "one"}));
-    for (const Sec since = s.scheduler.now(); s.going(since) && !hop->ended();)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(hop->ended());
     CHECK(hop->end().verdict == Verdict::completed);
     s.scheduler.stop();
   });
@@ -275,24 +271,19 @@
   s.play([&]() -> Task {
     const int m = s.member("s-1", ear.address);
     const auto hop = s.hop(m, 1), next = s.hop(m, 2);
-    Event look(s.scheduler);
     Fd first, second;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(first = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(first = ear.accept());
     std::string asked;
-    for (const Sec since = s.scheduler.now(); s.going(since) && asked.empty(); asked = taken(first))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(!(asked = taken(first)).empty());
     say(first, words_text({id_of(1), "served", "etag=1", "one"}));
     first = Fd();
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(second = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(second = ear.accept());
     CHECK(hop->end().verdict == Verdict::completed);
     CHECK_FALSE(next->ended());
     CHECK(second);
     if (!second) co_return s.scheduler.stop();
     asked.clear();
-    for (const Sec since = s.scheduler.now(); s.going(since) && asked.empty(); asked = taken(second))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(!(asked = taken(second)).empty());
     CHECK(asked.find(id_of(2)) != std::string::npos);
     s.scheduler.stop();
   });
@@ -305,18 +296,14 @@
   s.play([&]() -> Task {
     const int m = s.member("s-1", ear.address);
     const auto hop = s.hop(m, 1);
-    Event look(s.scheduler);
     Fd first, second;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(first = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(first = ear.accept());
     say(first, words_text({id_of(1), "served", "etag=1", "one"}));
-    for (const Sec since = s.scheduler.now(); s.going(since) && !hop->ended();)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(hop->ended());
     taken(first);  // else the close would be a reset
     first = Fd();
     const auto next = s.hop(m, 2);  // in the same turn: no word of the close has been read
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(second = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(second = ear.accept());
     CHECK_FALSE(next->ended());
     CHECK(second);
     s.scheduler.stop();
@@ -331,19 +318,15 @@
   s.play([&]() -> Task {
     const int m = s.member("s-1", ear.address);
     const auto hop = s.hop(m, 1);
-    Event look(s.scheduler);
     Fd first, second;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(first = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(first = ear.accept());
     say(first, words_text({id_of(1), "served", "etag=1", "one"}));
-    for (const Sec since = s.scheduler.now(); s.going(since) && !hop->ended();)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(hop->ended());
     taken(first);
     say(first, "*4\r\n$16");
     first = Fd();
     const auto next = s.hop(m, 2);  // in the same turn
-    for (const Sec since = s.scheduler.now(); s.going(since) && !next->ended() && !(second = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(next->ended() || (second = ear.accept()));
     CHECK_FALSE(next->ended());
     CHECK(second);
     s.scheduler.stop();
@@ -355,14 +338,12 @@
   const Ear ear;
   s.play([&]() -> Task {
     const auto hop = s.hop(s.member("s-1", ear.address), 1);
-    Event look(s.scheduler);
     Fd peer;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(peer = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(peer = ear.accept());
     say(peer, "*4\r\n$16\r\n" + id_of(1) + "\r\n$6\r\nserved\r\n$6\r\netag=1\r\n$90000\r\n");
     for (int n = 0; n < 60 && !hop->ended(); ++n) {  // a byte each 50 ms, for three seconds
       if (::send(peer.get(), "x", 1, MSG_NOSIGNAL) < 0) break;
-      co_await look.wait(s.scheduler.now() + 0.05);
+      co_await s.look.wait(s.scheduler.now() + 0.05);
     }
     CHECK(hop->ended());
     CHECK(hop->end().verdict == Verdict::broken);
@@ -375,14 +356,12 @@
   const Ear ear;
   s.play([&]() -> Task {
     const auto hop = s.hop(s.member("s-1", ear.address), 1);
-    Event look(s.scheduler);
     Fd peer;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(peer = ear.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
-    co_await look.wait(s.scheduler.now() + 0.05);
+    UNTIL(peer = ear.accept());
+    co_await s.look.wait(s.scheduler.now() + 0.05);
     say(peer, words_text({id_of(1), "served", "age=x", "one"}));
     for (const Sec since = s.scheduler.now(); s.scheduler.now() < since + 2 && !hop->ended();)
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
     CHECK(hop->ended());
     s.scheduler.stop();
   });
@@ -394,14 +373,11 @@
   s.play([&]() -> Task {
     std::vector<std::unique_ptr<Hop>> hops;
     for (int n = 0; n < 3; ++n) hops.push_back(s.hop(s.member("s-" + std::to_string(n), ears[n].address), n));
-    Event look(s.scheduler);
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(ears[0].called() && ears[1].called());)
-      co_await look.wait(s.scheduler.now() + 0.01);
-    co_await look.wait(s.scheduler.now() + 0.2);
+    UNTIL(ears[0].called() && ears[1].called());
+    co_await s.look.wait(s.scheduler.now() + 0.2);
     CHECK_FALSE(ears[2].called());
     hops[0]->drop();  // its connection is idle now, and makes room
-    for (const Sec since = s.scheduler.now(); s.going(since) && !ears[2].called();)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(ears[2].called());
     CHECK(ears[2].called());
     s.scheduler.stop();
   });
@@ -412,14 +388,13 @@
   const Ear full(0), now;
   s.play([&]() -> Task {
     const Fd first = dial(full.address);
-    Event look(s.scheduler);
-    co_await look.wait(s.scheduler.now() + 0.1);
+    co_await s.look.wait(s.scheduler.now() + 0.1);
     const auto hop = s.hop(s.member("s-1", full.address), 1);
-    co_await look.wait(s.scheduler.now() + 0.05);
+    co_await s.look.wait(s.scheduler.now() + 0.05);
     s.member("s-1", now.address);
     const Fd accepted = full.accept();
     for (const Sec since = s.scheduler.now(); s.scheduler.now() < since + 4 && !now.called();)
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
     CHECK(now.called());
     s.scheduler.stop();
   });
@@ -437,10 +412,8 @@
   ::getrlimit(RLIMIT_NOFILE, &before);
   s.play([&]() -> Task {
     list.follow(bus.address);
-    Event look(s.scheduler);
     Fd stream;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(stream = bus.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(stream = bus.accept());
     const rlimit tight{64, before.rlim_max};
     ::setrlimit(RLIMIT_NOFILE, &tight);
     std::vector<Fd> idle;
@@ -451,7 +424,7 @@
     ::shutdown(stream.get(), SHUT_RDWR);
     // As soon as its end is free somebody takes it: this task runs in each turn.
     for (const Sec since = s.scheduler.now(); s.scheduler.now() < since + 2 && !bus.called();) {
-      co_await look.wait(s.scheduler.now());
+      co_await s.look.wait(s.scheduler.now());
       take_all();
     }
     CHECK(bus.called());
@@ -465,15 +438,12 @@
   s.play([&]() -> Task {
     const Fd c = s.connect();
     say(c, words_text({"ALIVE", "1", ""}));
-    Event look(s.scheduler);
     std::string got;
-    for (const Sec since = s.scheduler.now(); s.going(since) && got.empty(); got = taken(c))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(!(got = taken(c)).empty());
     s.clients.close_idle();
-    for (const Sec since = s.scheduler.now(); s.going(since) && got.back() != '|'; got += taken(c))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL((got += taken(c)).ends_with("|"));
     say(c, s.exec(2));
-    co_await look.wait(s.scheduler.now() + 0.2);
+    co_await s.look.wait(s.scheduler.now() + 0.2);
     CHECK(s.served == 0);
     s.scheduler.stop();
   });
@@ -484,14 +454,11 @@
   s.play([&]() -> Task {
     const Fd c = s.connect();
     say(c, s.exec(1));
-    Event look(s.scheduler);
-    for (const Sec since = s.scheduler.now(); s.going(since) && s.served == 0;)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(s.served > 0);
     s.clients.abort_open();
     say(c, s.exec(2));
     std::string got;
-    for (const Sec since = s.scheduler.now(); s.going(since) && got.empty(); got = taken(c))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(!(got = taken(c)).empty());
     CHECK(got == words_text({"2", "REJECT"}));
     CHECK(s.served == 1);
     s.scheduler.stop();
@@ -511,16 +478,15 @@
     std::string all;
     for (int n = 1; n <= 8; ++n) all += s.exec(n);
     say(c, all);
-    Event look(s.scheduler);
-    co_await look.wait(s.scheduler.now() + 0.3);
+    co_await s.look.wait(s.scheduler.now() + 0.3);
     say(c, s.exec(9) + words_text({"FORGET", "9", ""}));
-    co_await look.wait(s.scheduler.now() + 0.3);
+    co_await s.look.wait(s.scheduler.now() + 0.3);
     std::size_t got = 0;
     for (const Sec since = s.scheduler.now(); s.going(since) && got < 8 * large.size();) {
       got += taken(c).size();
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
     }
-    co_await look.wait(s.scheduler.now() + 0.2);
+    co_await s.look.wait(s.scheduler.now() + 0.2);
     CHECK(s.served == 8);
     s.scheduler.stop();
   });
@@ -538,7 +504,6 @@
       while (!over && ::send(c.get(), flood.data(), flood.size(), MSG_NOSIGNAL) > 0) {
       }
     });
-    Event look(s.scheduler);
     int turns = 0;
     std::thread ends([&] {  // a task that never gives the turn back ends with the flood
       std::this_thread::sleep_for(std::chrono::seconds(2));
@@ -546,7 +511,7 @@
       ::shutdown(c.get(), SHUT_RDWR);
     });
     while (!over && turns < 20) {
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
       ++turns;
     }
     CHECK(turns == 20);
@@ -567,8 +532,7 @@
   List list(s.scheduler, s.outbox, s.log, desk, s.caches);
   s.play([&]() -> Task {
     const Fd first = dial(full.address);
-    Event look(s.scheduler);
-    co_await look.wait(s.scheduler.now() + 0.1);
+    co_await s.look.wait(s.scheduler.now() + 0.1);
     list.list_begin(true);
     list.list_member("s-1", full.address, 1, 0, 0, Listed::ready, 1, 0);
     list.list_end();
@@ -594,16 +558,14 @@
   s.play([&]() -> Task {
     const Fd c = s.connect();
     say(c, s.exec(1));
-    Event look(s.scheduler);
-    for (const Sec since = s.scheduler.now(); s.going(since) && s.served == 0;)
-      co_await look.wait(s.scheduler.now() + 0.01);
-    co_await look.wait(s.scheduler.now() + 0.3);  // the kernel has the answer, the client reads nothing
+    UNTIL(s.served > 0);
+    co_await s.look.wait(s.scheduler.now() + 0.3);  // the kernel has the answer, the client reads nothing
     std::vector<Fd> others;
     for (int n = 0; n < 8; ++n) others.push_back(s.connect());
     say(c, s.exec(2));  // lies unread when its connection is closed for the last of them
     std::string got;
     for (const Sec since = s.scheduler.now(); s.going(since) && !got.ends_with("|");) {
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
       const auto more = taken(c);
       got += more;
       if (more.empty() && got.size() > large.size()) break;
@@ -649,15 +611,12 @@
   s.play([&]() -> Task {
     const Fd c = s.connect();
     say(c, s.exec(1) + "GET / HTTP/1.1\r\n\r\n" + s.exec(2));
-    Event look(s.scheduler);
-    for (const Sec since = s.scheduler.now(); s.going(since) && !s.asked;)
-      co_await look.wait(s.scheduler.now() + 0.01);
-    co_await look.wait(s.scheduler.now() + 0.2);
+    UNTIL(s.asked);
+    co_await s.look.wait(s.scheduler.now() + 0.2);
     CHECK_FALSE(s.seat->left());
     s.answer();
     std::string got;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !got.ends_with("|"); got += taken(c))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL((got += taken(c)).ends_with("|"));
     CHECK(got == s.answered + "|");
     CHECK(s.served == 1);
     s.scheduler.stop();
@@ -670,15 +629,14 @@
     const Fd c = s.connect();
     const auto next = s.exec(2);
     say(c, s.exec(1) + next.substr(0, 20));
-    Event look(s.scheduler);
-    co_await look.wait(s.scheduler.now() + 2.4);  // past the time for a whole message
+    co_await s.look.wait(s.scheduler.now() + 2.4);  // past the time for a whole message
     CHECK_FALSE(s.seat->left());
     s.answer();
     say(c, next.substr(20));
     std::string got;
     for (const Sec since = s.scheduler.now(); s.going(since) && (got.empty() || s.served < 2);
          got += taken(c))
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
     CHECK(got == s.answered);
     CHECK(s.served == 2);
     s.scheduler.stop();
@@ -690,12 +648,11 @@
   s.play([&]() -> Task {
     const Fd c = s.connect();
     const std::string nonsense(4096, 'x');
-    Event look(s.scheduler);
     bool refused = false;
     const Sec since = s.scheduler.now();
     while (s.going(since) && !refused) {
       refused = ::send(c.get(), nonsense.data(), nonsense.size(), MSG_NOSIGNAL) < 0 && errno != EAGAIN;
-      co_await look.wait(s.scheduler.now() + 0.005);
+      co_await s.look.wait(s.scheduler.now() + 0.005);
     }
     CHECK(refused);
     CHECK(s.clients.count() == 0);
@@ -705,25 +662,10 @@
 
 namespace {
 
+std::string member(int id, Says state) { return member_record(static_cast<unsigned>(id), 9, state, 1, 0); }
+
 // A list that follows what the story says as a bus.
 struct BusStand : Stand {
-  static std::string big_end(std::uint64_t value, int bytes) {
-    std::string out;
-    for (int n = bytes - 1; n >= 0; --n) out += static_cast<char>(value >> (8 * n) & 255);
-    return out;
-  }
-  static std::string frame(std::uint64_t number, int kind, const std::string& payload) {
-    return big_end(9 + payload.size(), 4) + big_end(number, 8) + big_end(static_cast<unsigned>(kind), 1) +
-           payload;
-  }
-  static std::string member(int id, Listed state) {
-    return big_end(static_cast<unsigned>(id), 4) + big_end(kLoopback, 4) + big_end(9, 2) +
-           big_end(state == Listed::ready      ? 0
-                   : state == Listed::draining ? 1
-                                               : 2,
-                   1) +
-           big_end(1, 1) + big_end(0, 1) + big_end(0, 2) + big_end(1000, 4) + big_end(0, 8);
-  }
   bool ready(int id) { return caches.listed_ready(caches.member(fmt::format("s-{:08x}", id))); }
   // The number in the hello of a connection; -1 while it has not come.
   static int hello(const Fd& fd) {
@@ -745,33 +687,26 @@
   const Ear bus;
   s.play([&]() -> Task {
     s.list.follow(bus.address);
-    Event look(s.scheduler);
     Fd first, second;
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(first = bus.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(first = bus.accept());
     int held = -1;
-    for (const Sec since = s.scheduler.now(); s.going(since) && held < 0; held = s.hello(first))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL((held = s.hello(first)) >= 0);
     CHECK(held == 0);
-    const auto whole = s.frame(1, 1, s.member(1, Listed::ready) + s.member(2, Listed::ready));
-    const auto drain = s.frame(2, 2, s.member(1, Listed::draining)),
-               back = s.frame(3, 2, s.member(1, Listed::ready)),
-               gone = s.frame(4, 2, s.member(2, Listed::gone));
+    const auto whole = frame_text(1, 1, member(1, Says::ready) + member(2, Says::ready));
+    const auto drain = frame_text(2, 2, member(1, Says::draining)),
+               back = frame_text(3, 2, member(1, Says::ready)),
+               gone = frame_text(4, 2, member(2, Says::gone));
     say(first, whole + drain.substr(0, 20));
-    for (const Sec since = s.scheduler.now(); s.going(since) && !s.ready(1);)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(s.ready(1));
     first = Fd();
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(second = bus.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(second = bus.accept());
     held = -1;
-    for (const Sec since = s.scheduler.now(); s.going(since) && held < 0; held = s.hello(second))
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL((held = s.hello(second)) >= 0);
     CHECK(held == 1);
     CHECK(s.ready(1));  // half a frame tells nothing
     // Those of before once more, behind what followed them too.
     say(second, whole + drain + back + drain + whole + gone + drain);
-    for (const Sec since = s.scheduler.now(); s.going(since) && s.ready(2);)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(!s.ready(2));
     CHECK(s.ready(1));
     CHECK_FALSE(s.ready(2));
     s.scheduler.stop();
@@ -782,39 +717,32 @@
   BusStand s;
   const Ear full(0), old, passed, now;
   const Fd fills = dial(full.address);
-  const auto frames = [&](Listed one) {
-    return s.frame(1, 1, s.member(1, one) + s.member(2, Listed::ready));
-  };
+  const auto frames = [&](Says one) { return frame_text(1, 1, member(1, one) + member(2, Says::ready)); };
   // From a dial that does not come up, from a pause between dials, or from a bus that talks on.
   const int from = GENERATE(0, 1, 2);
   CAPTURE(from);
   s.play([&]() -> Task {
-    Event look(s.scheduler);
-    co_await look.wait(s.scheduler.now() + 0.1);
+    co_await s.look.wait(s.scheduler.now() + 0.1);
     Fd talking, followed;
     const Address nobody{kLoopback, 1};
     s.list.follow(from == 0 ? full.address : from == 1 ? nobody : old.address);
-    if (from == 1) co_await look.wait(s.scheduler.now() + 0.9);  // its pauses have grown by then
-    if (from == 2)
-      for (const Sec since = s.scheduler.now(); s.going(since) && !(talking = old.accept());)
-        co_await look.wait(s.scheduler.now() + 0.01);
-    co_await look.wait(s.scheduler.now() + 0.05);
+    if (from == 1) co_await s.look.wait(s.scheduler.now() + 0.9);  // its pauses have grown by then
+    if (from == 2) UNTIL(talking = old.accept());
+    co_await s.look.wait(s.scheduler.now() + 0.05);
     const Sec told = s.scheduler.now();
     // The old one's word lies unread when the list is told to move, twice in a row.
-    if (talking) say(talking, frames(Listed::draining));
+    if (talking) say(talking, frames(Says::draining));
     s.list.follow(passed.address);
     s.list.follow(now.address);
-    for (const Sec since = s.scheduler.now(); s.going(since) && !(followed = now.accept());)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    UNTIL(followed = now.accept());
     CHECK(s.scheduler.now() < told + 0.3);
     CHECK_FALSE(passed.called());
-    say(followed, frames(Listed::ready));
-    for (const Sec since = s.scheduler.now(); s.going(since) && !s.ready(2);)
-      co_await look.wait(s.scheduler.now() + 0.01);
+    say(followed, frames(Says::ready));
+    UNTIL(s.ready(2));
     CHECK(s.ready(1));
     if (talking)  // it talks on; nobody listens
       for (int n = 0; n < 20 && ::send(talking.get(), "x", 1, MSG_NOSIGNAL) > 0; ++n)
-        co_await look.wait(s.scheduler.now() + 0.01);
+        co_await s.look.wait(s.scheduler.now() + 0.01);
     CHECK(s.ready(1));
     s.scheduler.stop();
   });
@@ -827,25 +755,19 @@
   s.play([&]() -> Task {
     const Fd idle = s.connect();
     say(idle, words_text({"ALIVE", "1", ""}));
-    Event look(s.scheduler);
     std::string got;
-    for (const Sec since = s.scheduler.now(); s.going(since) && got.empty(); got = taken(idle))
-      co_await look.wait(s.scheduler.now() + 0.01);
-    const Fd comes(::socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in a{};
-    a.sin_family = AF_INET, a.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-    a.sin_port = htons(s.ear.address.port);
+    UNTIL(!(got = taken(idle)).empty());
+    Fd comes(::socket(AF_INET, SOCK_STREAM, 0));
     const rlimit tight{64, before.rlim_max};
     ::setrlimit(RLIMIT_NOFILE, &tight);
     std::vector<Fd> all;
     while (Fd fd{::open("/dev/null", O_RDONLY)}) all.push_back(std::move(fd));
-    CHECK(::connect(comes.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) == 0);
-    ::fcntl(comes.get(), F_SETFL, O_NONBLOCK);
+    comes = s.connect(std::move(comes));
     say(comes, words_text({"ALIVE", "2", ""}));
     got.clear();
     for (const Sec since = s.scheduler.now(); s.scheduler.now() < since + 2 && got.empty();
          got = taken(comes))
-      co_await look.wait(s.scheduler.now() + 0.01);
+      co_await s.look.wait(s.scheduler.now() + 0.01);
     CHECK(got == words_text({"2", "UNREADY"}));
     CHECK(taken(idle) == "|");
     s.scheduler.stop();
--- a/tests/starts.cpp
+++ b/tests/starts.cpp
@@ -1,5 +1,4 @@
-// Starts and planned ends of the program as processes: ready while discovery is down, and over in the time
-// that the platform gives, whatever the site's longest time limit. WALKPADDLE names the program.
+// Starts and planned ends of the program as processes; WALKPADDLE names the program.
 #define CATCH_CONFIG_MAIN
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -188,8 +187,7 @@
   CHECK(now() < told + kill_after + kBusy);
   int status = -1;
   while (::waitpid(p.pid, &status, WNOHANG) == 0 && now() < told + kill_after + kBusy) ::usleep(5'000);
-  CHECK(WIFEXITED(status));
-  CHECK(WEXITSTATUS(status) == 0);
+  CHECK((WIFEXITED(status) && WEXITSTATUS(status) == 0));
   if (WIFEXITED(status)) p.pid = -1;
 }
 
--- a/tests/stories/changes.cpp
+++ b/tests/stories/changes.cpp
@@ -705,7 +705,6 @@
       r.calendar->in_contact(now);
       r.counters.txns += 5, r.counters.took[4] += 5, r.counters.hops += 5;
       r.rollout->counted(r.counters);
-      // A release takes its router away for a while; its counters begin anew.
       if (r.rollout->next_move(now)) r.ready_at = now + 5;
       if (r.ready_at > 0 && now >= r.ready_at)
         r.ready_at = 0, r.counters = {.epoch = r.counters.epoch + 1}, r.rollout->moved(now);
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -28,6 +28,7 @@
 #include "net/resp.h"
 #include "platform.h"
 #include "purge/cover.h"
+#include "standins/bus.h"
 #include "standins/world.h"
 #include "text.h"
 
@@ -37,6 +38,7 @@
 #undef false
 
 using namespace walkpaddle;
+using namespace walkpaddle::standins;
 
 namespace {
 
@@ -427,12 +429,6 @@
     return "s-000000" + std::string(name == "c1" ? "c1" : name == "c2" ? "c2" : name == "par" ? "aa" : "0f");
   }
 
-  static std::string big_end(std::uint64_t value, int bytes) {
-    std::string text;
-    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) text += static_cast<char>(value >> shift & 255);
-    return text;
-  }
-
   // bus up | down | counts N | takes | drains NAME | purges OBJECT | bytes ...
   void bus(const std::vector<std::string>& w) {
     if (w[1] == "up") {
@@ -449,9 +445,7 @@
     } else if (w[1] == "drains") {
       auto& s = servers_[w[2]];
       const auto id = std::stoul(server_id(w[2]).substr(2), nullptr, 16);
-      frame(2, big_end(id, 4) + big_end(INADDR_LOOPBACK, 4) + big_end(static_cast<unsigned>(s.port), 2) +
-                   big_end(1, 1) + big_end(1, 1) + big_end(0, 1) + big_end(0, 2) + big_end(1000, 4) +
-                   big_end(0, 8));
+      frame(2, member_record(id, s.port, Says::draining, 1, 0));
     } else if (w[1] == "purges") {
       const auto now = std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1);
       frame(3, big_end(std::stoull(w[2], nullptr, 16), 8) + big_end(static_cast<std::uint64_t>(now), 8));
@@ -460,8 +454,7 @@
     }
   }
   void frame(int kind, const std::string& payload) {
-    send(bus_.conns[0], big_end(9 + payload.size(), 4) + big_end(static_cast<std::uint64_t>(++event_), 8) +
-                            big_end(static_cast<unsigned>(kind), 1) + payload);
+    send(bus_.conns[0], frame_text(static_cast<std::uint64_t>(++event_), kind, payload));
   }
 
   std::string listed(const std::string& name, const char* where, const char* kind) {
