--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -211,21 +211,24 @@
 
 void Clients::take_requests(const std::shared_ptr<Client>& client) {
   constexpr std::size_t kMostWords = 8, kMostBytes = 64 * 1024;  // a write brings up to 48,000 bytes
+  auto& stream = client->stream_;
   Words words;
-  if (client->phase_ != Client::Phase::open) return client->stream_.consume(client->stream_.in().size());
-  try {
-    for (;;) {
-      read_words(client->stream_.in(), kMostWords, kMostBytes, words);
+  while (client->phase_ != Client::Phase::shut) {
+    const bool open = client->phase_ == Client::Phase::open;
+    try {
+      read_words(stream.in(), kMostWords, kMostBytes, words);
       if (words.used == 0) return;
-      request(client, words.words);
-      client->stream_.consume(words.used);
-      client->spoke_ = true, client->last_ = scheduler_.now();
+      // What is given up is heard to the end.
+      if (open || (!words.words.empty() && words.words[0] == "FORGET")) request(client, words.words);
+      if (open) client->spoke_ = true, client->last_ = scheduler_.now();
+    } catch (const Malformed& e) {
+      if (open) log_("client", "connection closed: {}", e.what());
+      end(*client);
+      if (words.used == 0) break;  // what cannot be read as an array, nor what follows it
     }
-  } catch (const Malformed& e) {
-    log_("client", "connection closed: {}", e.what());
-    client->stream_.consume(client->stream_.in().size());
-    end(*client);
+    stream.consume(words.used);
   }
+  stream.consume(stream.in().size());
 }
 
 void Clients::request(const std::shared_ptr<Client>& client, const std::vector<std::string_view>& words) {
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -623,6 +623,20 @@
   });
 }
 
+TEST_CASE("given a client that asked too much, when it gives up what was taken, then that is heard") {
+  OpenStand s;
+  s.play([&]() -> Task {
+    const Fd c = s.connect();
+    say(c, s.exec(1) + s.exec(1));  // one tag twice: its connection comes to its end
+    UNTIL(s.asked);
+    co_await s.look.wait(s.scheduler.now() + 0.1);
+    say(c, words_text({"FORGET", "1", ""}));
+    UNTIL(s.seat->left());
+    CHECK(s.seat->left());
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given a client that writes slowly, when it has a txn open, then that is answered") {
   OpenStand s;
   s.play([&]() -> Task {
@@ -700,7 +714,6 @@
     UNTIL(s.ready(1));
     first = Fd();
     UNTIL(second = bus.accept());
-    held = -1;
     UNTIL((held = s.hello(second)) >= 0);
     CHECK(held == 1);
     CHECK(s.ready(1));  // half a frame tells nothing
@@ -724,8 +737,7 @@
   s.play([&]() -> Task {
     co_await s.look.wait(s.scheduler.now() + 0.1);
     Fd talking, followed;
-    const Address nobody{kLoopback, 1};
-    s.list.follow(from == 0 ? full.address : from == 1 ? nobody : old.address);
+    s.list.follow(from == 0 ? full.address : from == 1 ? Address{kLoopback, 1} : old.address);
     if (from == 1) co_await s.look.wait(s.scheduler.now() + 0.9);  // its pauses have grown by then
     if (from == 2) UNTIL(talking = old.accept());
     co_await s.look.wait(s.scheduler.now() + 0.05);
@@ -764,10 +776,7 @@
     while (Fd fd{::open("/dev/null", O_RDONLY)}) all.push_back(std::move(fd));
     comes = s.connect(std::move(comes));
     say(comes, words_text({"ALIVE", "2", ""}));
-    got.clear();
-    for (const Sec since = s.scheduler.now(); s.scheduler.now() < since + 2 && got.empty();
-         got = taken(comes))
-      co_await s.look.wait(s.scheduler.now() + 0.01);
+    UNTIL(!(got = taken(comes)).empty());
     CHECK(got == words_text({"2", "UNREADY"}));
     CHECK(taken(idle) == "|");
     s.scheduler.stop();
--- a/tests/stories/changes.cpp
+++ b/tests/stories/changes.cpp
@@ -6,9 +6,6 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <cmath>
-#include <functional>
-#include <map>
-#include <memory>
 #include <set>
 
 using namespace walkpaddle;
