A fault soak of processes, and three plans of it that fail, known red

Change: soak/ (plan, schedule from a seed, stand-ins with the faults of a proxy on each link, a preloaded shim for clocks and system calls, an oracle outside the routers), with three plans as tests: routers an hour ahead of discovery, failing calls, requests with little time left. Ruled out: the same plans without the trouble end without a violation.

--- /dev/null
+++ b/soak/endpoint.cpp
@@ -0,0 +1,265 @@
+#include "soak/endpoint.h"
+
+#include <fmt/core.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include "net/resp.h"
+#include "settings.h"
+#include "text.h"
+
+namespace walkpaddle::soak {
+
+namespace {
+
+constexpr std::uint32_t kLoopback = 0x7f000001;
+constexpr Sec kWork = 0.004;      // to answer from a copy
+constexpr Sec kFetch = 0.008;     // from a source
+constexpr Sec kPurgeSettles = 6;  // as the settings say: by then no server has an older copy
+
+std::string version_tag(std::string_view item, Sec newest_purge) {
+  return fmt::format("{:016x}", stable_hash(fmt::format("{} {:.3f}", item, newest_purge)));
+}
+
+}  // namespace
+
+Sec PurgeHistory::newest(std::string_view item, int group, Sec known_before) const {
+  Sec newest = 0;
+  for (const auto& e : entries)
+    if (e.at <= known_before && (e.item.empty() ? e.group == group : e.item == item))
+      newest = std::max(newest, e.at);
+  return newest;
+}
+
+Endpoint::Endpoint(Scheduler& scheduler, Outbox& outbox, Oracle& oracle, const PurgeHistory& purges,
+                   const Setup& setup)
+    : scheduler_(scheduler),
+      outbox_(outbox),
+      oracle_(oracle),
+      purges_(purges),
+      setup_(setup),
+      chance_(setup.seed),
+      purge_delay_(std::uniform_real_distribution<>(0.05, kPurgeSettles - 1)(chance_)) {
+  start_cold();
+  started_ = 0;  // the first start was long ago
+}
+
+std::string Endpoint::id() const { return fmt::format("s-{:08x}", 0xb0 + setup_.number); }
+
+void Endpoint::start_cold() {
+  if (up_) return;
+  up_ = true, ++starts_;
+  copies_.clear();
+  started_ = real_now();
+  listener_ = std::make_shared<Listener>(
+      scheduler_, listen_on(Address{kLoopback, static_cast<std::uint16_t>(setup_.port)}));
+  scheduler_.start(accept_all(listener_));
+}
+
+void Endpoint::crash() {
+  if (!up_) return;
+  up_ = false;
+  listener_->close();
+  for (const auto& [link, open] : open_) link->reset();
+}
+
+bool Endpoint::active(Kind kind) const { return scheduler_.now() < active_[static_cast<int>(kind)].until; }
+
+bool Endpoint::drawn(Kind kind) {
+  return active(kind) &&
+         std::uniform_real_distribution<>(0, 1)(chance_) < active_[static_cast<int>(kind)].size;
+}
+
+void Endpoint::trouble(const Trouble& trouble, Sec until) {
+  active_[static_cast<int>(trouble.kind)] = {until, trouble.size};
+  const bool closes = trouble.kind == Kind::server_closes_idle || trouble.kind == Kind::server_resets_idle ||
+                      trouble.kind == Kind::server_forgets_idle;
+  if (closes) close_idle_connections();
+  // Few that are not accepted make the queue full: further connections come up only once it is not.
+  if (trouble.kind == Kind::server_late_accept && up_) ::listen(listener_->fd(), 1);
+}
+
+void Endpoint::close_idle_connections() {
+  for (auto& [link, open] : open_) {
+    if (!open.requests.empty()) continue;
+    if (active(Kind::server_forgets_idle))
+      open.forgotten = true;
+    else if (active(Kind::server_resets_idle))
+      link->reset();
+    else
+      link->stream().close();
+  }
+}
+
+Task Endpoint::accept_all(std::shared_ptr<Listener> listener) {
+  constexpr Sec kPause = 0.02;
+  Event pause(scheduler_);
+  while (listener->open()) {
+    if (active(Kind::server_late_accept) || active(Kind::server_vanishes)) {
+      co_await pause.wait(scheduler_.now() + kPause);
+      continue;
+    }
+    Fd fd = listener->accept();
+    if (!fd) {
+      co_await listener->came.wait(scheduler_.now() + kPause);
+      continue;
+    }
+    ++accepted_;
+    if (active(Kind::server_hangs_up)) continue;
+    scheduler_.start(connection(std::move(fd)));
+  }
+}
+
+Task Endpoint::connection(Fd fd) {
+  constexpr Sec kLook = 0.02;
+  auto link = std::make_shared<Link>(scheduler_, outbox_, std::move(fd));
+  auto& open = open_[link];
+  auto& stream = link->stream();
+  bool exact = true;  // what is read next has just come
+  for (;;) {
+    if (active(Kind::server_hangs) || active(Kind::server_vanishes) || open.forgotten) {
+      exact = false;
+      Event pause(scheduler_);
+      co_await pause.wait(scheduler_.now() + kLook);
+      if (stream.broken() || (open.forgotten && !active(Kind::server_forgets_idle))) break;
+      continue;
+    }
+    if (active(Kind::server_closes_idle) || active(Kind::server_resets_idle)) close_idle_connections();
+    const auto came = stream.read();
+    if (came == Stream::Came::end) break;
+    if (came == Stream::Came::nothing) {
+      exact = true;
+      co_await stream.readable(scheduler_.now() + 0.25);
+      continue;
+    }
+    try {
+      take(link, exact);
+    } catch (const Malformed& e) {
+      oracle_.violated(Invariant::stays_up, -1, 0, fmt::format("server {} got {}", setup_.number, e.what()));
+      break;
+    }
+  }
+  // What is worked on is given up: it may have run, and the client's process cannot know.
+  open_.erase(link);
+}
+
+void Endpoint::take(const std::shared_ptr<Link>& link, bool exact) {
+  net::Words words;
+  for (;;) {
+    net::read_words(link->stream().in(), 8, 1 << 20, words);
+    if (words.used == 0) return;
+    const auto& w = words.words;
+    auto& open = open_[link];
+    if (w[0] == "cancel" && w.size() > 1) {
+      open.requests.erase(parse<std::uint64_t>(w[1], "id", 16));
+    } else if (w[0] == "serve" && w.size() > 2) {
+      const auto id = parse<std::uint64_t>(w[1], "id", 16);
+      const auto source = net::field(w[2], "src").value_or("");
+      Oracle::Attempt attempt{.server = setup_.number,
+                              .at = real_now(),
+                              .exact = exact,
+                              .limit = parse<double>(net::field(w[2], "limit").value_or(""), "limit") / 1e3,
+                              .named = {}};
+      if (!source.empty()) attempt.source = parse<int>(source.substr(2), "src", 16) - 0xb0;
+      const auto number = oracle_.attempt(id, attempt);
+      open.requests.insert(id);
+      scheduler_.start(serve(link, id, std::string(w[2]), number, starts_));
+    }
+    link->stream().consume(words.used);
+  }
+}
+
+bool Endpoint::usable(const Copy& copy, std::string_view item, int group, Sec oldest) const {
+  const Sec now = real_now();
+  if (oldest > 0 && now - copy.made > oldest) return false;
+  return copy.made >= purges_.newest(item, group, now - purge_delay_);
+}
+
+// From a parent that holds it, else from the origin. Gives when the origin read it.
+Sec Endpoint::fetch(std::string_view source, const std::string& key, std::string_view item, int group,
+                    Sec oldest) {
+  for (const auto& endpoint : *all_) {
+    if (endpoint->id() != source || endpoint->role() != Role::parent) continue;
+    const auto it = endpoint->copies_.find(key);
+    if (it != endpoint->copies_.end() && endpoint->usable(it->second, item, group, oldest)) return it->second.made;
+    endpoint->copies_[key] = {real_now()};
+  }
+  return real_now();
+}
+
+std::string Endpoint::answer_for(std::uint64_t id, std::string_view fields, bool& ran, Sec& made,
+                                 std::string& named) {
+  const auto id_text = fmt::format("{:016x}", id);
+  const auto cls = net::field(fields, "cls").value_or("");
+  if (cls != "page") return net::words_text({id_text, "served", "tell=origin", "done " + id_text});
+  const std::string item(net::field(fields, "item").value_or("")), chunk(net::field(fields, "chunk").value_or(""));
+  const auto key = item + "." + chunk;
+  const int group = static_cast<int>(stable_hash(item) % 8);
+  const Sec oldest = parse_or(net::field(fields, "maxage").value_or(""), 0.0) / 1e3;
+  std::string_view tell = "mem";
+  if (setup_.role == Role::origin) {
+    made = real_now(), tell = "origin";
+  } else if (const auto it = copies_.find(key); it != copies_.end() && usable(it->second, item, group, oldest)) {
+    made = it->second.made;
+  } else {
+    const auto source = net::field(fields, "src").value_or("");
+    if (source.empty()) {
+      ran = false;
+      return net::words_text({id_text, "not_here", "tell=absent"});
+    }
+    made = fetch(source, key, item, group, oldest), tell = "parent";
+    if (net::field(fields, "keep").value_or("0") != "0") copies_[key] = {made};
+  }
+  const auto tag = version_tag(item, purges_.newest(item, group, made));
+  const auto told = fmt::format("tell={},etag={},made={},ttfb=3", tell, tag, static_cast<long>(made * 1e3));
+  if (net::field(fields, "have").value_or("") == tag) {
+    named = tag;
+    return net::words_text({id_text, "still_good", told});
+  }
+  // Sizes from a few bytes to some tens of thousands, the same for each object.
+  const auto size = 16 + stable_hash(key) % 97 * (stable_hash(key) % 31 == 0 ? 600 : 20);
+  return net::words_text({id_text, "served", told, fmt::format("{}.{}.", item, chunk) + std::string(size, 'x')});
+}
+
+Task Endpoint::serve(std::shared_ptr<Link> link, std::uint64_t id, std::string fields, std::size_t attempt,
+                     std::uint64_t start) {
+  // Little time left: dropped without a word, as a server may.
+  constexpr Sec kTooLittle = 0.02;
+  if (parse_or(net::field(fields, "limit").value_or(""), 0.0) / 1e3 < kTooLittle) co_return;
+  const double slower = active(Kind::server_slow) ? active_[static_cast<int>(Kind::server_slow)].size : 1;
+  const bool fills = net::field(fields, "src").has_value();
+  Event wait(scheduler_);
+  co_await wait.wait(scheduler_.now() + (kWork + (fills ? kFetch : 0)) * slower);
+  while (active(Kind::server_hangs) || active(Kind::server_vanishes))
+    co_await wait.wait(scheduler_.now() + 0.02);
+  const auto open = open_.find(link);
+  if (start != starts_ || open == open_.end() || open->second.forgotten || open->second.requests.erase(id) == 0)
+    co_return;
+  if (drawn(Kind::server_overloaded)) {
+    oracle_.attempt_over(id, attempt, false, 0, {});
+    link->write(net::words_text({fmt::format("{:016x}", id), "overload", "tell=crowded"}));
+    co_return;
+  }
+  bool ran = true;
+  Sec made = 0;
+  std::string named;
+  const auto answer = answer_for(id, fields, ran, made, named);
+  oracle_.attempt_over(id, attempt, ran, made, named);
+  send(link, answer);
+}
+
+void Endpoint::send(const std::shared_ptr<Link>& link, const std::string& answer) {
+  if (drawn(Kind::answers_lost)) return;
+  if (drawn(Kind::answers_trickle)) return link->trickle(answer, std::max<std::size_t>(1, answer.size() / 8), 0.03);
+  if (drawn(Kind::answers_spoilt)) return link->write("*3\r\n$oops\r\n" + answer);
+  if (drawn(Kind::server_resets_midway)) {
+    link->write(std::string_view(answer).substr(0, answer.size() / 2));
+    return link->reset();
+  }
+  link->write(answer);
+  if (drawn(Kind::answers_doubled)) link->write(answer);
+  if (drawn(Kind::server_half_closes)) link->half_close();
+}
+
+}  // namespace walkpaddle::soak
--- /dev/null
+++ b/soak/link.cpp
@@ -0,0 +1,47 @@
+#include "soak/link.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace walkpaddle::soak {
+
+Link::Link(Scheduler& scheduler, Outbox& outbox, Fd fd)
+    : scheduler_(scheduler), fd_(fd.get()), stream_(scheduler, outbox, std::move(fd)) {}
+
+void Link::write(std::string_view bytes) {
+  if (scheduler_.now() < lost_until_) return;
+  if (trickles_)
+    pieces_ += bytes;
+  else
+    stream_.write(bytes);
+}
+
+void Link::trickle(std::string bytes, std::size_t piece, Sec between) {
+  if (scheduler_.now() < lost_until_) return;
+  pieces_ += bytes;
+  if (!std::exchange(trickles_, true)) scheduler_.start(write_pieces(shared_from_this(), piece, between));
+}
+
+Task Link::write_pieces(std::shared_ptr<Link> self, std::size_t piece, Sec between) {
+  Event pause(scheduler_);
+  while (!self->pieces_.empty() && !self->stream_.broken()) {
+    const auto size = std::min(piece, self->pieces_.size());
+    self->stream_.write(std::string_view(self->pieces_).substr(0, size));
+    self->pieces_.erase(0, size);
+    co_await pause.wait(scheduler_.now() + between);
+  }
+  self->trickles_ = false;
+}
+
+void Link::reset() {
+  if (std::exchange(reset_, true)) return;
+  const linger at_once{1, 0};
+  ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  stream_.close();  // its owner drops it
+}
+
+void Link::half_close() { ::shutdown(fd_, SHUT_WR); }
+
+}  // namespace walkpaddle::soak
--- /dev/null
+++ b/soak/link.h
@@ -0,0 +1,36 @@
+// One TCP connection of the soak's side, with the faults of a proxy between it and the router: pieces that trickle,
+// bytes lost on their way out, a reset, a half-close.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "io/stream.h"
+
+namespace walkpaddle::soak {
+
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  Link(Scheduler& scheduler, Outbox& outbox, Fd fd);
+
+  Stream& stream() { return stream_; }
+  void write(std::string_view bytes);  // as the faults have it
+  void trickle(std::string bytes, std::size_t piece, Sec between);
+  void lose_writes(Sec until) { lost_until_ = until; }
+  void reset();       // the other side gets RST
+  void half_close();  // the other side gets the end of our bytes; we read on
+  bool is_reset() const { return reset_; }
+
+ private:
+  Task write_pieces(std::shared_ptr<Link> self, std::size_t piece, Sec between);
+
+  Scheduler& scheduler_;
+  const int fd_;
+  Stream stream_;
+  Sec lost_until_ = 0;
+  std::string pieces_;  // what trickles, with all that was written behind it
+  bool trickles_ = false, reset_ = false;
+};
+
+}  // namespace walkpaddle::soak
--- /dev/null
+++ b/soak/oracle.cpp
@@ -0,0 +1,275 @@
+#include "soak/oracle.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "net/resp.h"
+#include "text.h"
+
+namespace walkpaddle::soak {
+
+namespace {
+
+constexpr std::string_view kNames[kInvariants] = {
+    "answer_once", "answer_in_time", "effect_once",      "attempt_after_leave", "deadline_passed",
+    "drain_kept",  "slow_start",     "purge_kept",       "copy_named",          "refusal_harmless",
+    "attempt_after_end", "ends_in_time", "stays_up", "connections_bounded"};
+
+constexpr Sec kPageSlack = 0.05;   // of every time limit on sockets
+constexpr Sec kLateWorth = 0.5;    // an answer so late is not lost yet
+constexpr Sec kAfterLeave = 0.1;   // an attempt may begin so long after its client left
+constexpr Sec kDeadlineSlack = 0.15;
+constexpr std::size_t kMostViolations = 200;
+
+}  // namespace
+
+Sec real_now() {
+  return std::chrono::duration<Sec>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+std::string_view name_of(Invariant invariant) { return kNames[static_cast<int>(invariant)]; }
+
+void Oracle::violated(Invariant invariant, int router, std::uint64_t request, std::string what) {
+  if (violations_.size() < kMostViolations)
+    violations_.push_back({invariant, real_now() - began_, router, request, std::move(what)});
+}
+
+void Oracle::lagged(Sec lag) {
+  constexpr Sec kRemembered = 2;
+  const Sec now = real_now();
+  worst_lag_ = std::max(worst_lag_, lag);
+  lags_.emplace_back(now, lag);
+  while (lags_.front().first < now - kRemembered) lags_.pop_front();
+}
+
+Sec Oracle::slack() const {
+  Sec worst = 0;
+  for (const auto& [at, lag] : lags_) worst = std::max(worst, lag);
+  return kPageSlack + 2 * worst;
+}
+
+void Oracle::stood_still(int router, Sec from, Sec to) { stalls_[router].emplace_back(from, to); }
+
+Sec Oracle::still(int router, Sec from, Sec to) const {
+  const auto it = stalls_.find(router);
+  if (it == stalls_.end()) return 0;
+  Sec sum = 0;
+  for (const auto& [begin, end] : it->second) sum += std::max(0.0, std::min(end, to) - std::max(begin, from));
+  return sum;
+}
+
+void Oracle::sent(const Request& request) {
+  ++counts_.sent;
+  records_[request.id] = {.request = request, .attempts = {}};
+}
+
+void Oracle::answered(std::uint64_t id, std::string_view word, std::string_view fields,
+                      std::string_view body) {
+  const auto it = records_.find(id);
+  if (it == records_.end()) return;
+  auto& r = it->second;
+  const auto& request = r.request;
+  ++counts_.checked[static_cast<int>(Invariant::answer_once)];
+  if (r.answered >= 0)
+    return violated(Invariant::answer_once, request.router, id, fmt::format("a second answer, {}", word));
+  r.answered = real_now();
+  const Sec allowed = request.sent + request.limit + request.reads_late + kLateWorth + slack();
+  ++counts_.checked[static_cast<int>(Invariant::answer_in_time)];
+  if (r.left < 0 && r.answered > allowed + still(request.router, request.sent, r.answered))
+    violated(Invariant::answer_in_time, request.router, id,
+             fmt::format("{} after {:.3f} s of {:.3f} s", word, r.answered - request.sent, request.limit));
+  const bool ran = std::ranges::any_of(r.attempts, &Attempt::ran);
+  if (word == "REJECT") {
+    ++counts_.refused, ++counts_.checked[static_cast<int>(Invariant::refusal_harmless)];
+    if (ran && request.effect == Effect::single_shot)
+      violated(Invariant::refusal_harmless, request.router, id, "refused though an attempt of it ran");
+    return;
+  }
+  if (word != "RESULT") return void(++counts_.failed);
+  ++counts_.served;
+  if (request.effect != Effect::free) {
+    if (r.attempts.empty() || !body.starts_with("done"))
+      violated(Invariant::answer_once, request.router, id, "served with what no server made for it");
+    return;
+  }
+  if (net::field(fields, "notmod").value_or("") == "1") {
+    ++counts_.checked[static_cast<int>(Invariant::copy_named)];
+    if (request.etag.empty() || std::ranges::none_of(r.attempts, [&](const Attempt& a) {
+          return a.named == request.etag;
+        }))
+      violated(Invariant::copy_named, request.router, id, "a copy is called current that no server named");
+  } else if (!body.starts_with(fmt::format("{}.{}.", request.item, request.part))) {
+    violated(Invariant::answer_once, request.router, id,
+             fmt::format("another object's bytes: {}", body.substr(0, 24)));
+  }
+  check_purges(r);
+}
+
+// The copy of the last attempt that was answered is what the client got.
+void Oracle::check_purges(const Record& r) {
+  const auto last = std::find_if(r.attempts.rbegin(), r.attempts.rend(), [](const Attempt& a) { return a.made > 0; });
+  if (last == r.attempts.rend() || !last->exact) return;
+  const auto& request = r.request;
+  const auto& purges = told(request.router, request.start).purges;
+  for (const auto& key : {request.item, fmt::format("#{}", request.group)}) {
+    const auto it = purges.find(key);
+    if (it == purges.end()) continue;
+    for (const auto& p : it->second) {
+      ++counts_.checked[static_cast<int>(Invariant::purge_kept)];
+      // Whole milliseconds: a copy made in the same one is as good as new.
+      if (last->at > p.told + rules_.purge_grace + slack() && last->made < p.purged - 0.001)
+        return violated(Invariant::purge_kept, request.router, request.id,
+                        fmt::format("sent {:.3f} s after the purge was told, answered from a copy {:.3f} s older "
+                                    "than it",
+                                    last->at - p.told, p.purged - last->made));
+    }
+  }
+}
+
+void Oracle::left(std::uint64_t id) {
+  const auto it = records_.find(id);
+  if (it == records_.end() || it->second.answered >= 0 || it->second.left >= 0) return;
+  it->second.left = real_now(), ++counts_.left;
+}
+
+void Oracle::excused(std::uint64_t id, std::string_view) {
+  const auto it = records_.find(id);
+  if (it == records_.end() || it->second.answered >= 0) return;
+  it->second.excused = true, ++counts_.excused;
+}
+
+void Oracle::reads_late(std::uint64_t id, Sec by) {
+  if (const auto it = records_.find(id); it != records_.end()) it->second.request.reads_late += by;
+}
+
+void Oracle::crossed(std::uint64_t id) {
+  const auto it = records_.find(id);
+  if (it == records_.end() || it->second.answered >= 0) return;
+  auto& r = it->second;
+  r.crossed = true, ++counts_.crossed;
+  ++counts_.checked[static_cast<int>(Invariant::attempt_after_end)];
+  if (!r.attempts.empty())
+    violated(Invariant::attempt_after_end, r.request.router, id, "crossed the end of its connection, and was sent on");
+}
+
+void Oracle::unanswered(std::uint64_t id, std::string_view how) {
+  const auto it = records_.find(id);
+  if (it == records_.end()) return;
+  auto& r = it->second;
+  if (r.answered >= 0 || r.left >= 0 || r.excused || r.crossed || r.closed) return;
+  r.closed = true;
+  violated(Invariant::answer_once, r.request.router, id,
+           fmt::format("{} with no answer, {:.3f} s after it was sent, {} attempts", how,
+                       real_now() - r.request.sent, r.attempts.size()));
+}
+
+std::size_t Oracle::attempt(std::uint64_t id, const Attempt& attempt) {
+  ++counts_.attempts;
+  const auto it = records_.find(id);
+  if (it == records_.end()) return 0;
+  auto& r = it->second;
+  check_attempt(r, attempt);
+  check_cold(r, attempt);
+  r.attempts.push_back(attempt);
+  return r.attempts.size() - 1;
+}
+
+void Oracle::check_attempt(const Record& r, const Attempt& a) {
+  const auto& request = r.request;
+  const auto checked = [&](Invariant invariant) { ++counts_.checked[static_cast<int>(invariant)]; };
+  if (r.crossed)
+    violated(Invariant::attempt_after_end, request.router, request.id, "sent on after its connection ended");
+  const auto broken = [&](std::string what) {
+    violated(Invariant::effect_once, request.router, request.id, std::move(what));
+  };
+  checked(Invariant::effect_once);
+  for (const auto& earlier : r.attempts) {
+    if (!earlier.ran || request.effect == Effect::free) continue;
+    if (request.effect == Effect::single_shot) {
+      broken("a second attempt though one may have run");
+      break;
+    }
+    if (a.exact && a.at > earlier.at + rules_.window + slack()) {
+      broken(fmt::format("a repeat {:.3f} s after the first, the window is {:.1f} s", a.at - earlier.at,
+                         rules_.window));
+      break;
+    }
+  }
+  if (!a.exact) return;
+  const Sec late = slack();
+  checked(Invariant::attempt_after_leave);
+  if (r.left >= 0 && a.at > r.left + kAfterLeave + late + still(request.router, r.left, a.at))
+    violated(Invariant::attempt_after_leave, request.router, request.id,
+             fmt::format("begins {:.3f} s after its client left", a.at - r.left));
+  checked(Invariant::deadline_passed);
+  const Sec has = request.sent + request.limit - a.at;
+  if (a.limit > has + kDeadlineSlack + late + still(request.router, request.sent, a.at))
+    violated(Invariant::deadline_passed, request.router, request.id,
+             fmt::format("says {:.3f} s, its client has {:.3f} s", a.limit, has));
+  const auto& drains = told(request.router, request.start).drains;
+  for (const int endpoint : {a.server, a.source}) {
+    const auto it = drains.find(endpoint);
+    if (it == drains.end()) continue;
+    checked(Invariant::drain_kept);
+    if (a.at > it->second + rules_.drain_grace + late + still(request.router, it->second, a.at))
+      violated(Invariant::drain_kept, request.router, request.id,
+               fmt::format("{} server {} {:.3f} s after it was told to drain",
+                           endpoint == a.server ? "sent to" : "filled from", endpoint, a.at - it->second));
+  }
+}
+
+// Counts all that a server gets from all routers while it is cold, in a moving window.
+void Oracle::check_cold(const Record& r, const Attempt& a) {
+  const auto start = starts_.find(a.server);
+  if (start == starts_.end() || a.at > start->second + rules_.warm_after) return;
+  auto& window = cold_[a.server];
+  const auto& starts = told(r.request.router, r.request.start).starts;
+  const auto it = starts.find(a.server);
+  window.push_back({a.at, it != starts.end() && it->second >= start->second - 1 && it->second < a.at});
+  while (window.front().at < a.at - rules_.cold_window || window.front().at < start->second) window.pop_front();
+  const double warmed = std::clamp((a.at - start->second) / rules_.warm_after, 0.0, 1.0);
+  const double n = rules_.cold_multiple * (rules_.cold_from + (1 - rules_.cold_from) * warmed) * rules_.capacity *
+                   rules_.cold_window;
+  const double most = n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
+  ++counts_.checked[static_cast<int>(Invariant::slow_start)];
+  const auto told = static_cast<double>(std::ranges::count_if(window, &Sent::told));
+  const auto all = static_cast<double>(window.size());
+  if (all > most && told > all * 2 / 3 && fell_[a.server] < start->second) {
+    fell_[a.server] = a.at;
+    violated(Invariant::slow_start, r.request.router, r.request.id,
+             fmt::format("server {}: {} attempts in {:.1f} s, {:.1f} s after its start, {:.0f} allowed", a.server,
+                         window.size(), rules_.cold_window, a.at - start->second, most));
+  }
+}
+
+void Oracle::attempt_over(std::uint64_t id, std::size_t number, bool ran, Sec made, std::string_view named) {
+  const auto it = records_.find(id);
+  if (it == records_.end() || number >= it->second.attempts.size()) return;
+  auto& a = it->second.attempts[number];
+  a.ran = ran, a.over = true, a.made = made, a.named = named;
+}
+
+void Oracle::told_start(int router, int start, int server, Sec at) { told(router, start).starts[server] = at; }
+void Oracle::told_drain(int router, int start, int server, Sec at) {
+  told(router, start).drains.emplace(server, at);
+}
+void Oracle::told_ready(int router, int start, int server) { told(router, start).drains.erase(server); }
+void Oracle::told_purge(int router, int start, int group, std::string_view item, Sec purged, Sec at) {
+  auto& all = told(router, start).purges[item.empty() ? fmt::format("#{}", group) : std::string(item)];
+  all.push_back({purged, at});
+}
+
+void Oracle::finish() {
+  const Sec now = real_now();
+  for (const auto& [id, r] : records_) {
+    if (r.answered >= 0 || r.left >= 0 || r.excused || r.crossed || r.closed) continue;
+    violated(Invariant::answer_once, r.request.router, id,
+             fmt::format("never answered, {:.3f} s after it was sent, limit {:.3f} s, {} attempts",
+                         now - r.request.sent, r.request.limit, r.attempts.size()));
+  }
+}
+
+}  // namespace walkpaddle::soak
--- /dev/null
+++ b/soak/process.h
@@ -0,0 +1,64 @@
+// One router as a process of the shipped program, with the shim preloaded: started, told to end, killed, stopped and
+// started again; its log, its descriptors and its memory.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+
+#include "soak/fault_control.h"
+#include "soak/oracle.h"
+
+namespace walkpaddle::soak {
+
+class Process {
+ public:
+  struct Setup {
+    std::string program, shim, folder, name;
+    int number = 0, port = 0, sockets = 256;
+    double memory_mb = 48;
+  };
+  Process(Oracle& oracle, Setup setup);
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  enum class Phase { down, starting, serving, ending };
+  Phase phase() const { return phase_; }
+  int number() const { return setup_.number; }
+  int port() const { return setup_.port; }
+  int start_count() const { return starts_; }
+  void begin(const std::string& config);
+  void configure(const std::string& config);  // the file, for a reload
+  void is_ready();
+  void terminate();
+  void kill();
+  void hang_up();
+  void stop();
+  void go_on();
+  // Looks whether it has ended, and judges how; true once after each end.
+  bool ended();
+  void check_limits();
+  FaultControl& faults() { return *control_; }
+  // Connections that it broke itself, by a failing call, until then.
+  void breaks_connections_until(Sec until) { breaks_until_ = until; }
+  bool breaks_connections() const { return real_now() < breaks_until_; }
+  // As the front does: new connections for 0.3 s after the end was asked for, requests for 0.2 s more.
+  bool takes_connections() const;
+  bool takes_requests() const;
+  Sec ended_at() const { return ended_at_; }
+  Sec killed_at() const { return killed_at_; }  // the last time, 0 if never
+  std::string log_path() const { return setup_.folder + "/log"; }
+
+ private:
+  Oracle& oracle_;
+  const Setup setup_;
+  FaultControl* control_ = nullptr;
+  pid_t pid_ = -1;
+  Phase phase_ = Phase::down;
+  int starts_ = 0;
+  bool killed_ = false;
+  Sec asked_at_ = 0, stopped_at_ = 0, ended_at_ = 0, began_ = 0, breaks_until_ = 0, still_ = 0, killed_at_ = 0;
+};
+
+}  // namespace walkpaddle::soak
--- /dev/null
+++ b/soak/soak.h
@@ -0,0 +1,30 @@
+// One soak: routers as processes among servers, discovery and clients, all on loopback, while a plan's troubles strike;
+// judged by the oracle.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "soak/oracle.h"
+#include "soak/plan.h"
+
+namespace walkpaddle::soak {
+
+struct Programs {
+  std::string router, shim, folder;  // folder: where the processes' files go
+};
+
+struct Result {
+  std::vector<Violation> violations;
+  std::vector<std::string> traces;  // by violation: the routers' log lines that name its request
+  Oracle::Counts counts;
+  Sec worst_lag = 0;
+  std::uint64_t connections = 0;  // that servers accepted
+};
+
+Result play(const Plan& plan, const Programs& programs);
+
+// Takes troubles out of a plan that fails, as long as the same invariants still fail, at most so many plays.
+Plan reduce(const Plan& plan, const Programs& programs, int plays);
+
+}  // namespace walkpaddle::soak
