Stamps of discovery are placed on the router's own clock by order, not compared with it

Cause: Scheduler fixes Unix time once; List compared discovery's stamps of purges and starts with it, so an hour's difference made a purge look out of force and a server that just came back look warm. Lines: List::purged, list_member. Change: src/net/discovery_clock: a live purge counts from its arrival, a known one by its distance to the newest known stamp, a start by the least difference seen, each erring to the safe side. Ruled out: comparing within a tolerance (a step of seconds is within any).

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -69,6 +69,17 @@
                      kStates[state], m.value("size", 1.0), m.value("up_since_ms", 0.0) / 1e3);
 }
 
+// The newest stamp of discovery among the events, 0 for none.
+Sec newest_stamp(const json& batch) {
+  double newest = 0;
+  for (const auto& e : batch) {
+    if (e.contains("ban")) newest = std::max(newest, e["ban"].at("ts").get<double>());
+    if (!e.contains("topology")) continue;
+    for (const auto& m : e["topology"].at("members")) newest = std::max(newest, m.value("up_since_ms", 0.0));
+  }
+  return newest / 1e3;
+}
+
 }  // namespace
 
 Config parse_config(const std::string& text) {
@@ -96,6 +107,7 @@
 std::uint64_t hand_known(const std::string& known, const Settings& settings, ListEvents& events) {
   return reading([&] {
     const auto j = json::parse(known);
+    events.known_begin(newest_stamp(j.at("batch")));
     for (const auto& e : j.at("batch")) {
       if (e.contains("topology")) {
         const auto& list = e["topology"];
@@ -111,6 +123,7 @@
           events.purged_group(purge.at("tag").get<std::uint32_t>(), at);
       }
     }
+    events.known_end();
     return j.at("offset").get<std::uint64_t>();
   });
 }
--- a/src/net/frames.h
+++ b/src/net/frames.h
@@ -14,6 +14,9 @@
 // Where the decoded events go.
 class ListEvents {
  public:
+  // The events of a configuration follow, up to known_end(); the newest stamp among them, 0 for none.
+  virtual void known_begin(Sec newest_stamp) = 0;
+  virtual void known_end() = 0;
   virtual void list_begin(bool whole) = 0;
   virtual void list_member(std::string_view id, const Address& address, int location, int kind, int cell,
                            Listed state, double weight, Sec started) = 0;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -23,7 +23,8 @@
   if (whole_) in_list_.insert(m);
   caches_.told(m, address, state);
   desk_.purges().boxes().listed(m, state != Listed::gone);
-  desk_.input().list_member(m, stable_hash(id), location, kind, cell, state, weight, started);
+  desk_.input().list_member(m, stable_hash(id), location, kind, cell, state, weight,
+                            clock_.started_at(m, started, scheduler_.now()));
   if (watch_ != nullptr)
     watch_->listed(m, {stable_hash(id), location, kind, cell, state, weight, started}, scheduler_.now());
 }
@@ -46,7 +47,8 @@
   auto& brain = desk_.input();
   brain.list_begin(false);
   for (const auto& [m, l] : tells) {
-    brain.list_member(m, l.hash, l.location, l.kind, l.cell, l.state, l.weight, l.started);
+    brain.list_member(m, l.hash, l.location, l.kind, l.cell, l.state, l.weight,
+                      clock_.started_at(m, l.started, scheduler_.now()));
     log_("facts", "{}: {} as the fleet has it", caches_.id(m),
          l.state == Listed::gone       ? "gone"
          : l.state == Listed::draining ? "draining"
@@ -56,11 +58,11 @@
 }
 
 void List::purged(std::string_view object, Sec at) {
-  desk_.purges().bus_object(stable_hash(object), std::min(at, scheduler_.now()));
+  desk_.purges().bus_object(stable_hash(object), clock_.purged_at(at, scheduler_.now()));
 }
 
 void List::purged_group(std::uint32_t group, Sec at) {
-  desk_.purges().bus_group(group, std::min(at, scheduler_.now()));
+  desk_.purges().bus_group(group, clock_.purged_at(at, scheduler_.now()));
 }
 
 void List::follow(const Address& bus) {
@@ -140,6 +142,7 @@
       const auto used = read_frame(stream.in(), last_, *this, seen);
       if (used == 0) return true;
       stream.consume(used);
+      clock_.heard(now);
       if (watch_ != nullptr) watch_->list_heard(now);
       if (seen > held + 1) {
         const bool again = std::exchange(gap_after_, held) == held;
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -8,6 +8,7 @@
 #include "io/log.h"
 #include "net/caches.h"
 #include "net/desk.h"
+#include "net/discovery_clock.h"
 #include "net/frames.h"
 #include "replica/watch.h"
 
@@ -28,6 +29,8 @@
   void tell_facts();                // where the fleet's facts are worse than the list: the module is told
   void follow(const Address& bus);  // from the last event held; a second call moves to another address
 
+  void known_begin(Sec newest_stamp) override { clock_.begin_known(newest_stamp, scheduler_.now()); }
+  void known_end() override { clock_.end_known(); }
   void list_begin(bool whole) override;
   void list_member(std::string_view id, const Address& address, int location, int kind, int cell,
                    Listed state, double weight, Sec started) override;
@@ -44,6 +47,7 @@
   Log& log_;
   Desk& desk_;
   Caches& caches_;
+  DiscoveryClock clock_;
   static constexpr std::uint64_t kNoGap = ~std::uint64_t{};
   std::uint64_t last_ = 0, gap_after_ = kNoGap;  // gap_after_: the last before a gap that is asked for again
   Address bus_;
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -113,6 +113,8 @@
     ((text << ' ' << parts), ...);
     out += text.str() + "\n";
   }
+  void known_begin(Sec) override {}
+  void known_end() override {}
   void list_begin(bool whole) override { say(whole ? "list" : "changes"); }
   void list_member(std::string_view id, const Address& at, int location, int kind, int cell, Listed state,
                    double weight, Sec started) override {
