Failing calls end no connection and no program; a dropped short request makes none silent

Cause: Stream::read took EINTR for no bytes, and with edges alone nobody asked again; a refused send closed the stream; Scheduler::watch threw out of run() when epoll_ctl wanted memory; dial() took its own want of buffers or ports for the server's refusal; Hop::settle called a connection silent however short the wait. Change: interrupted calls are made again, calls without memory are asked again after 5 ms, refused watches after 10 ms; a failed send leaves what was received to be read; an exception of one connection or request ends it alone, and its request is answered; silence counts past four mean answers.

--- a/src/io/scheduler.cpp
+++ b/src/io/scheduler.cpp
@@ -60,32 +60,54 @@
   resume(handle);
 }
 
+void Scheduler::start_isolated(Task task) {
+  task.isolate();
+  start(std::move(task));
+}
+
 // A task that ends is dropped here, after it has given the control back.
-void Scheduler::resume(std::coroutine_handle<> task) {
-  task.resume();
-  if (task.done()) tasks_.erase(task.address());
+void Scheduler::resume(std::coroutine_handle<> handle) {
+  handle.resume();
+  if (!handle.done()) return;
+  const auto it = tasks_.find(handle.address());
+  const auto failure = it->second.failure();
+  const bool isolated = it->second.isolated();
+  tasks_.erase(it);
+  if (failure == nullptr) return;
+  if (!isolated || !on_failure_) std::rethrow_exception(failure);
+  on_failure_(failure);
 }
 
 void Scheduler::watch(int fd, Watcher& watcher) {
   epoll_event e{};
   e.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   e.data.ptr = &watcher;
-  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &e) != 0)
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &e) == 0) return;
+  if (errno != ENOSPC && errno != ENOMEM)
     throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  constexpr Sec kPause = 0.01;  // until some descriptor or memory may be free
+  refused_.push_back({fd, &watcher});
+  turn_by(now_ + kPause);
+}
+
+void Scheduler::watch_refused_again() {
+  for (const auto& r : std::exchange(refused_, {})) watch(r.fd, *r.watcher);
 }
 
 void Scheduler::forget(int fd, Watcher& watcher) {
   ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
   std::replace(told_.begin(), told_.end(), &watcher, static_cast<Watcher*>(nullptr));
+  std::erase_if(refused_, [&](const Refused& r) { return r.watcher == &watcher; });
 }
 
 void Scheduler::wait_for_edges() {
   constexpr int kAtOnce = 256;  // more wait for the next turn, which comes at once
   epoll_event events[kAtOnce];
   timespec wait{0, 0}, *until = nullptr;
-  if (!timers_.empty()) {
+  const Sec first = std::min(turn_by_, timers_.empty() ? kNoTime : timers_.begin()->first);
+  if (first < kNoTime) {
     read_clock();
-    const Sec left = std::clamp(timers_.begin()->first - now_, 0.0, 3600.0);
+    const Sec left = std::clamp(first - now_, 0.0, 3600.0);
     wait.tv_sec = static_cast<time_t>(left);
     wait.tv_nsec = static_cast<long>((left - std::floor(left)) * 1e9);
     until = &wait;
@@ -93,6 +115,7 @@
   const int got = ::epoll_pwait2(epoll_.get(), events, kAtOnce, until, nullptr);
   if (got < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_pwait2");
   read_clock();
+  if (now_ >= turn_by_) turn_by_ = kNoTime, watch_refused_again();
   told_.clear();
   for (int n = 0; n < got; ++n) told_.push_back(static_cast<Watcher*>(events[n].data.ptr));
   for (int n = 0; n < got; ++n)
--- a/src/io/scheduler.h
+++ b/src/io/scheduler.h
@@ -2,9 +2,11 @@
 // once, wakes what became ready, runs the tasks until none is ready, and then calls the ends of the turn.
 #pragma once
 
+#include <algorithm>
 #include <coroutine>
 #include <cstdint>
 #include <deque>
+#include <exception>
 #include <functional>
 #include <map>
 #include <unordered_map>
@@ -75,10 +77,17 @@
 
   Sec now() const { return now_; }  // Unix time, read once a turn
   void start(Task task);            // runs it up to its first wait, then goes on with the caller
+  // The same for a task whose failure concerns it alone: an exception that leaves it ends it, not the program.
+  void start_isolated(Task task);
+  using OnFailure = std::function<void(std::exception_ptr)>;
+  void on_failure(OnFailure call) { on_failure_ = std::move(call); }  // of an isolated task
+  // Edges of `fd` are told from now on, the present state first. While the kernel refuses for want of memory or of
+  // watches (ENOMEM, ENOSPC), it is asked again; other errors throw std::system_error.
   void watch(int fd, Watcher& watcher);
   void forget(int fd, Watcher& watcher);
   void at_turns_end(std::function<void()> call) { ends_.push_back(std::move(call)); }
-  void run();  // until stop(); an exception of a task comes out here
+  void turn_by(Sec time) { turn_by_ = std::min(turn_by_, time); }  // a turn begins by then, once
+  void run();  // until stop(); an exception of a task that is not isolated comes out here
   void stop() { stopped_ = true; }
   void drop_tasks();
 
@@ -88,7 +97,12 @@
   void wait_for_edges();
   void run_ready();
   void resume(std::coroutine_handle<> task);
+  void watch_refused_again();
 
+  struct Refused {
+    int fd;
+    Watcher* watcher;
+  };
   Fd epoll_;
   Sec now_ = 0, unix_less_steady_ = 0;
   bool stopped_ = false;
@@ -97,6 +111,9 @@
   std::unordered_map<void*, Task> tasks_;  // by their frames
   std::vector<std::function<void()>> ends_;
   std::vector<Watcher*> told_;  // this turn's; null: forgotten since
+  std::vector<Refused> refused_;  // not watched yet: at most one for each open descriptor
+  Sec turn_by_ = kNoTime;
+  OnFailure on_failure_;
 };
 
 }  // namespace walkpaddle
--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -70,20 +70,45 @@
 
 Fd Listener::accept() { return Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)); }
 
+bool is_own_want(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM || error == EAGAIN ||
+         error == EADDRNOTAVAIL;
+}
+
 Fd dial(const Address& address) {
   Fd fd = new_socket();
   if (!fd) return fd;
   const auto a = sockaddr_of(address);
-  if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0 && errno != EINPROGRESS)
+  // An interrupted connect goes on as one that is in progress.
+  if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0 && errno != EINPROGRESS &&
+      errno != EINTR)
     return Fd();
   return fd;
 }
 
+namespace {
+
+// The kernel wants memory or buffers: nothing is wrong with the connection.
+bool wants_memory(int error) { return error == ENOBUFS || error == ENOMEM; }
+
+}  // namespace
+
 void Outbox::remove(Stream& stream) {
   std::replace(streams_.begin(), streams_.end(), &stream, static_cast<Stream*>(nullptr));
+  std::erase(again_, &stream);
+}
+
+void Outbox::ask_again(Stream& stream) {
+  if (std::ranges::find(again_, &stream) == again_.end()) again_.push_back(&stream);
+  ask_at_ = std::min(ask_at_, scheduler_.now() + kAskAgain);
+  scheduler_.turn_by(ask_at_);
 }
 
 void Outbox::flush() {
+  if (scheduler_.now() >= ask_at_) {
+    ask_at_ = kNoTime;
+    for (auto* stream : std::exchange(again_, {})) stream->on_ready(EPOLLIN | EPOLLOUT);
+  }
   for (auto* stream : std::exchange(streams_, {}))
     if (stream != nullptr) stream->flush();
 }
@@ -96,7 +121,7 @@
 }
 
 Stream::~Stream() {
-  if (queued_) outbox_.remove(*this);
+  outbox_.remove(*this);
   outbox_.hold(0, unsent());
   scheduler_.forget(fd_.get(), *this);
 }
@@ -109,6 +134,19 @@
   }
 }
 
+namespace {
+
+// Edges are told once: an interrupted call is made again at once, or the bytes would never be asked for.
+ssize_t receive(int fd, std::vector<char>& room) {
+  ssize_t got = 0;
+  do {
+    got = ::recv(fd, room.data(), room.size(), 0);
+  } while (got < 0 && errno == EINTR);
+  return got;
+}
+
+}  // namespace
+
 Stream::Came Stream::read() {
   if (broken_) return Came::end;
   auto& room = outbox_.room();
@@ -118,17 +156,18 @@
   } else if (in_from_ > room.size()) {
     in_.erase(0, std::exchange(in_from_, 0));
   }
-  const auto got = ::recv(fd_.get(), room.data(), room.size(), 0);
+  const auto got = receive(fd_.get(), room);
   const int why = errno;
   if (got > 0) in_.append(room.data(), static_cast<std::size_t>(got));
   if (got > 0) return Came::bytes;
-  if (got < 0 && (why == EAGAIN || why == EINTR)) return Came::nothing;
+  if (got < 0 && why == EAGAIN) return Came::nothing;
+  if (got < 0 && wants_memory(why)) return outbox_.ask_again(*this), Came::nothing;
   broken_ = got < 0;
   return Came::end;
 }
 
 bool Stream::ended() const {
-  if (broken_) return true;
+  if (broken_ || unwritable_) return true;
   char next = 0;
   const auto got = ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
   if (got <= 0) return got == 0 || (errno != EAGAIN && errno != EINTR);
@@ -182,7 +221,7 @@
 }
 
 void Stream::write(std::string_view bytes) {
-  if (broken_) return;
+  if (broken_ || unwritable_) return;
   out_ += bytes;
   written_ += bytes.size();
   outbox_.hold(bytes.size(), 0);
@@ -199,7 +238,7 @@
 
 void Stream::flush() {
   queued_ = false;
-  while (!blocked_ && !broken_ && out_from_ < out_.size()) {
+  while (!blocked_ && !broken_ && !unwritable_ && out_from_ < out_.size()) {
     const auto sent = ::send(fd_.get(), out_.data() + out_from_, out_.size() - out_from_, MSG_NOSIGNAL);
     if (sent >= 0) {
       out_from_ += static_cast<std::size_t>(sent);
@@ -207,8 +246,13 @@
       outbox_.hold(0, static_cast<std::size_t>(sent));
     } else if (errno == EAGAIN) {
       blocked_ = true;
+    } else if (wants_memory(errno)) {
+      blocked_ = true;
+      outbox_.ask_again(*this);
     } else if (errno != EINTR) {
-      close();
+      unwritable_ = true;
+      readable_.set();
+      writable_.set();
     }
   }
   constexpr std::size_t kKept =
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -23,7 +23,10 @@
 
 Fd listen_on(const Address& address);     // throws std::system_error
 Fd datagrams_on(const Address& address);  // UDP, not waiting; throws std::system_error
-Fd dial(const Address& address);          // on its way; invalid with errno if refused at once
+// On its way; invalid with errno if refused at once, which closing the socket does not change.
+Fd dial(const Address& address);
+// Whether a call failed for want of this machine's own descriptors, memory, buffers or ports.
+bool is_own_want(int error);
 
 // The same by a path, for processes of this machine: mode 0600. A socket that a dead process left is
 // replaced, one that answers is not.
@@ -38,7 +41,8 @@
  public:
   // most_held: bytes that may wait to be sent, of all streams together, before those that read slowly are
   // closed.
-  Outbox(Scheduler& scheduler, std::size_t most_held) : most_held_(most_held), room_(kRoom) {
+  Outbox(Scheduler& scheduler, std::size_t most_held)
+      : scheduler_(scheduler), most_held_(most_held), room_(kRoom) {
     scheduler.at_turns_end([this] { flush(); });
   }
   void hold(std::size_t more, std::size_t less) { held_ += more - less; }
@@ -46,18 +50,26 @@
   void add(Stream& stream) { streams_.push_back(&stream); }
   void remove(Stream& stream);
   void flush();
+  // The kernel had no memory for a call of this stream: it is asked again a little later.
+  void ask_again(Stream& stream);
   std::vector<char>& room() { return room_; }
 
  private:
   // What one read takes: some tens of small messages or part of a large one; others get their turn between.
   static constexpr std::size_t kRoom = 64 * 1024;
+  static constexpr Sec kAskAgain = 0.005;
+  Scheduler& scheduler_;
   const std::size_t most_held_;
   std::size_t held_ = 0;
   std::vector<Stream*> streams_;  // null: dropped since
+  std::vector<Stream*> again_;    // the same, for those that ask again at ask_at_
+  Sec ask_at_ = kNoTime;
   std::vector<char> room_;
 };
 
 class Stream final : Scheduler::Watcher {
+  friend class Outbox;
+
  public:
   Stream(Scheduler& scheduler, Outbox& outbox, Fd fd);
   Stream(const Stream&) = delete;
@@ -86,6 +98,7 @@
   void wake() { readable_.set(); }  // its reader looks again
   void close();                     // as if the other side had closed: the reader wakes and sees the end
   bool broken() const { return broken_; }
+  bool writable_still() const { return !broken_ && !unwritable_; }
 
  private:
   void on_ready(std::uint32_t epoll_events) override;
@@ -98,6 +111,7 @@
   std::size_t in_from_ = 0, out_from_ = 0;
   std::uint64_t written_ = 0, handed_ = 0;
   bool queued_ = false, blocked_ = false, broken_ = false;
+  bool unwritable_ = false;  // the other side takes nothing any more; what it sent may still be read
 };
 
 }  // namespace walkpaddle
--- a/src/io/task.h
+++ b/src/io/task.h
@@ -14,7 +14,9 @@
     std::suspend_always initial_suspend() noexcept { return {}; }
     std::suspend_always final_suspend() noexcept { return {}; }
     void return_void() {}
-    void unhandled_exception() { throw; }  // ends the program by way of Scheduler::run
+    void unhandled_exception() { failure = std::current_exception(); }
+    std::exception_ptr failure;
+    bool isolated = false;
   };
 
   explicit Task(std::coroutine_handle<promise_type> handle) : handle_(handle) {}
@@ -28,6 +30,11 @@
   }
   // GCC 12 leaves part of the frame unset where a condition awaits: a task names what an await gives first.
   std::coroutine_handle<> handle() const { return handle_; }
+  // The exception that left it; null for none.
+  std::exception_ptr failure() const { return handle_.promise().failure; }
+  // Isolated, its failure is told and concerns no other; else it comes out of Scheduler::run.
+  void isolate() { handle_.promise().isolated = true; }
+  bool isolated() const { return handle_.promise().isolated; }
 
  private:
   std::coroutine_handle<promise_type> handle_;
--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -33,6 +33,7 @@
   std::size_t dialing = 0;
   bool wants_descriptors = false;  // its dial waits for one: our own want, no sign of its health
   Sec quickest = 0.05;  // least time from a hop to its answer; at first more than any way between machines
+  Sec usual = 0.1;      // mean time from a hop to its answer; at first that of a slow server
   std::deque<Hop*> waiting;
 };
 
@@ -101,7 +102,10 @@
 // back.
 void Hop::settle(Verdict verdict) {
   if (ended() || state_ == State::settling) return;
-  if (state_ == State::written && over_->heard < written_at_) over_->silent = true;
+  // Only where an answer had to come by now: a server may drop a request with little time left without a word.
+  constexpr double kWellPast = 4;
+  const bool due = scheduler_.now() - written_at_ > kWellPast * caches_.peer(what_.member).usual;
+  if (state_ == State::written && due && over_->heard < written_at_) over_->silent = true;
   if (caches_.take_back(*this)) return drop();
   if (verdict == Verdict::timed_out && what_.last) {
     caches_.give_up(*this);
@@ -175,7 +179,7 @@
   if (p.state == Listed::gone) return false;
   for (auto* c : p.connections)
     if (c->up && !c->silent) return c->stream.write(text), true;
-  if (p.dialing == 0) scheduler_.start(connection(member));
+  if (p.dialing == 0) scheduler_.start_isolated(connection(member));
   return false;
 }
 
@@ -195,7 +199,7 @@
     auto* hop = *it;
     Connection* best = nullptr;
     for (auto* c : p.connections)
-      if (c->up && !c->silent && c->live < hops_a_connection_ && !c->open.contains(hop->what_.id) &&
+      if (c->up && !c->silent && c->stream.writable_still() && c->live < hops_a_connection_ && !c->open.contains(hop->what_.id) &&
           (best == nullptr || c->live < best->live))
         best = c;
     if (best == nullptr) {
@@ -212,7 +216,7 @@
     write(*hop, *best);
   }
   const bool room = p.connections.size() < kMostSpread && connections_ < most_connections_ * 3 / 4;
-  if (crowded && room && p.dialing == 0) scheduler_.start(connection(index_.at(p.id)));
+  if (crowded && room && p.dialing == 0) scheduler_.start_isolated(connection(index_.at(p.id)));
 }
 
 void Caches::write(Hop& hop, Connection& c) {
@@ -286,7 +290,7 @@
   auto& p = peer(member);
   const auto wanted = (p.waiting.size() + hops_a_connection_ - 1) / hops_a_connection_;
   for (auto more = wanted; more > p.dialing && !p.waiting.empty(); --more)
-    scheduler_.start(connection(member));
+    scheduler_.start_isolated(connection(member));
 }
 
 void Caches::dial_failed(Peer& p, std::string_view why) {
@@ -324,7 +328,7 @@
     if (room) fd = dial(p.address);
     const int why = room ? errno : EMFILE;
     if (fd) break;
-    if (why != EMFILE && why != ENFILE) {
+    if (!is_own_want(why)) {
       p.wants_descriptors = false;
       count.is_up();
       dial_failed(p, std::strerror(why));
@@ -482,8 +486,11 @@
   over_at(c, *hop, false);
   --c.live;
   hop->over_ = nullptr;
-  auto& quickest = peer(hop->what_.member).quickest;
-  quickest = std::min(quickest, scheduler_.now() - hop->written_at_);
+  constexpr double kLately = 0.1;  // of ten answers
+  auto& at = peer(hop->what_.member);
+  const Sec took = scheduler_.now() - hop->written_at_;
+  at.quickest = std::min(at.quickest, took);
+  at.usual += (took - at.usual) * kLately;
   auto& end = hop->end_;
   end.note = note;
   end.told = told_by(fields);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -83,7 +83,7 @@
       ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &kKernelHolds, sizeof kKernelHolds);
       auto client = std::make_shared<Client>(scheduler_, outbox_, std::move(fd));
       clients_[client.get()] = client;
-      scheduler_.start(connection(std::move(client)));
+      scheduler_.start_isolated(connection(std::move(client)));
       continue;
     }
     const int why = errno;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -120,9 +120,16 @@
       clients_(scheduler_, outbox_, log,
                config_.listening >= 0 ? Fd(config_.listening) : listen_on(config_.listen), share_.clients,
                rule_names(config_.settings), [this](std::shared_ptr<Client> client, Order order) {
-                 scheduler_.start(serve(scheduler_, log_, desk_, caches_, std::move(client), std::move(order),
-                                        config_.bytes_a_second));
+                 scheduler_.start_isolated(serve(scheduler_, log_, desk_, caches_, std::move(client), std::move(order),
+                                                 config_.bytes_a_second));
                }) {
+  scheduler_.on_failure([this](std::exception_ptr failure) {
+    try {
+      std::rethrow_exception(failure);
+    } catch (const std::exception& e) {
+      log_("failure", "one request or connection ended by: {}", e.what());
+    }
+  });
   log_("start", "{} on {}, {} descriptors, {} MB", config_.name, text_of(config_.listen), config_.sockets,
        config_.memory_mb);
   const auto& f = file_.fleet;
--- a/src/net/txn.cpp
+++ b/src/net/txn.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <new>
 
 namespace walkpaddle::net {
 
@@ -48,6 +49,22 @@
   const auto object = stable_hash(order.object_text);
   Seat seat(desk, order.rule, object, order.object_text, order.part, order.group, order.expires);
   client->opened(order.tag, seat);
+  // However this task ends, its request gets its answer: also where memory runs out midway.
+  struct Owed {
+    Client& client;
+    const Order& order;
+    Seat& seat;
+    bool answered = false;
+    ~Owed() {
+      if (answered || seat.left()) return;
+      try {
+        client.answer(order.tag, "ABORTED");
+      } catch (const std::bad_alloc&) {
+        // Not even room for a word: the client sees its connection's end or its own limit.
+      }
+      client.over(order.tag);
+    }
+  } owed{*client, order, seat};
   using End = change::Tally::End;
   const Sec taken = scheduler.now();
   int hops = 0;
@@ -107,6 +124,7 @@
     }
   }
   client->over(order.tag);
+  owed.answered = true;
 }
 
 }  // namespace walkpaddle::net
