The order of endpoints by object ranks only as far as asked; a change of the list costs by itself

Cause: each pull ranked and sorted all caches with a logarithm each, each list change rebuilt all, the 50 ms tick walked all members, each drain all connections. Ruled out: the traces of all module tests are the same.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -17,7 +17,8 @@
 constexpr Sec kCrossing = 0.05;     // a request that crosses an idle close within that is sent again, once
 constexpr Sec kIdleClose = 4;       // clients close connections that rest so long
 constexpr Sec kLongestWrite = 0.2;  // of a request that trickles: it was begun so long before its last byte
-constexpr int kConnections = 4;
+constexpr int kLeastConnections = 4;
+constexpr double kEachConnection = 8;  // requests a second: many rest, or ask a few times
 
 }  // namespace
 
@@ -42,9 +43,13 @@
 std::string Clients::item(int object) { return fmt::format("{:016x}", 0x7000 + object); }
 int Clients::group(const std::string& item) { return static_cast<int>(stable_hash(item) % 8); }
 
+int Clients::connections() const {
+  return std::max(kLeastConnections, static_cast<int>(setup_.rate / kEachConnection));
+}
+
 void Clients::start() {
   scheduler_.start(front());
-  for (int n = 0; n < kConnections; ++n) scheduler_.start(connection());
+  for (int n = 0; n < connections(); ++n) scheduler_.start(connection());
 }
 
 void Clients::trouble(const Trouble& trouble, Sec until) {
@@ -148,6 +153,15 @@
   c.open.clear();
 }
 
+// A request that was on its way when the other side ended a resting connection: not taken, and never sent on.
+void Clients::ask_across_end(Conversation& c) {
+  auto request = draw_request();
+  c.link->write(text_of(request, std::to_string(++c.tag)));
+  request.sent = real_now();
+  oracle_.sent(request);
+  oracle_.crossed(request.id);
+}
+
 void Clients::leave(Conversation& c) {
   for (const auto& [tag, request] : c.open) oracle_.left(request.id), --open_;
   c.open.clear();
@@ -174,6 +188,10 @@
       const auto came = stream.read();
       if (came == Stream::Came::end) {
         take_answers(c);
+        if (rests && c.open.empty() && stream.error() == 0) {
+          ask_across_end(c);
+          co_await pause.wait(scheduler_.now() + kCrossing);
+        }
         at_end(c);
         break;
       }
@@ -209,7 +227,7 @@
       if (now >= next && !over_ && left > 0 && process_.takes_requests() &&
           c.start == process_.start_count() && c.open.size() < kMostOpen) {
         const double rate =
-            setup_.rate / kConnections * (active(Kind::clients_burst) ? size(Kind::clients_burst) : 1);
+            setup_.rate / connections() * (active(Kind::clients_burst) ? size(Kind::clients_burst) : 1);
         next = std::max(next, now - 0.05) + std::exponential_distribution<>(rate)(chance_);
         auto request = draw_request();
         if (!to_send_again_.empty()) {
--- a/soak/clients.h
+++ b/soak/clients.h
@@ -32,6 +32,7 @@
 
  private:
   struct Conversation;
+  int connections() const;
   Task front();
   Task connection();
   Task crowd(int connections, Sec until);
@@ -41,6 +42,7 @@
   std::string text_of(const Oracle::Request& request, const std::string& tag) const;
   void take_answers(Conversation& c);
   void at_end(Conversation& c);
+  void ask_across_end(Conversation& c);
   void leave(Conversation& c);
   bool active(Kind kind) const { return scheduler_.now() < active_[static_cast<int>(kind)].until; }
   double size(Kind kind) const { return active_[static_cast<int>(kind)].size; }
--- a/soak/oracle.cpp
+++ b/soak/oracle.cpp
@@ -90,6 +90,7 @@
   }
   if (word != "RESULT") return void(++counts_.failed);
   ++counts_.served;
+  took_.push_back(r.answered - request.sent);
   if (request.effect != Effect::free) {
     if (r.attempts.empty() || !body.starts_with("done"))
       violated(Invariant::answer_once, request.router, id, "served with what no server made for it");
--- a/soak/oracle.h
+++ b/soak/oracle.h
@@ -114,6 +114,7 @@
   };
   const Counts& counts() const { return counts_; }
   Sec worst_lag() const { return worst_lag_; }
+  const std::vector<Sec>& took() const { return took_; }
 
  private:
   struct Record {
@@ -152,6 +153,7 @@
   std::map<int, std::vector<std::pair<Sec, Sec>>> stalls_;
   std::deque<std::pair<Sec, Sec>> lags_;
   Sec worst_lag_ = 0;
+  std::vector<Sec> took_;
   std::vector<Violation> violations_;
   Counts counts_;
 };
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -69,7 +69,7 @@
     {"clients_read_slowly", At::clients, 1, 3, 0, 0},
     {"clients_spoil", At::clients, 1, 4, 0.02, 0.1},
     {"clients_short_limits", At::clients, 1, 5, 0.1, 0.5},
-    {"clients_crowd", At::clients, 1, 4, 20, 120},
+    {"clients_crowd", At::clients, 1, 4, 60, 180},
     {"clients_half_close", At::clients, 1, 4, 0.05, 0.3},
 };
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -81,6 +81,8 @@
   Sec seconds = 20;
   int processes = 12, servers = 8, parents = 2;
   double rate = 25;          // requests a second at each router
+  int sockets = 256;         // descriptors that a router may hold
+  int fleet = 0;             // routers by the settings; 0: as many as run
   int most_connections = 0;  // to servers, of all routers together; 0: not judged
   std::vector<Trouble> troubles{};
 };
--- a/soak/process.cpp
+++ b/soak/process.cpp
@@ -141,14 +141,26 @@
   if (open > setup_.sockets)
     oracle_.violated(Invariant::stays_up, number(), 0,
                      fmt::format("{} descriptors of {}", open, setup_.sockets));
+  if (const double mb = memory_mb(); mb > setup_.memory_mb)
+    oracle_.violated(Invariant::stays_up, number(), 0,
+                     fmt::format("{:.0f} MB of {:.0f}", mb, setup_.memory_mb));
+}
+
+double Process::memory_mb() const {
   std::ifstream status(fmt::format("/proc/{}/status", pid_));
   for (std::string line; std::getline(status, line);)
-    if (line.starts_with("VmHWM:")) {
-      const double mb = std::stod(line.substr(6)) / 1024;
-      if (mb > setup_.memory_mb)
-        oracle_.violated(Invariant::stays_up, number(), 0,
-                         fmt::format("{:.0f} MB of {:.0f}", mb, setup_.memory_mb));
-    }
+    if (line.starts_with("VmHWM:")) return std::stod(line.substr(6)) / 1024;
+  return 0;
+}
+
+double Process::cpu() const {
+  constexpr int kUserField = 14, kSystemField = 15;  // proc(5)
+  std::ifstream stat(fmt::format("/proc/{}/stat", pid_));
+  double ticks = 0;
+  std::string word;
+  for (int field = 1; field <= kSystemField && stat >> word; ++field)
+    if (field >= kUserField) ticks += std::stod(word);
+  return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
 bool Process::takes_connections() const {
--- a/soak/process.h
+++ b/soak/process.h
@@ -39,6 +39,8 @@
   // Looks whether it has ended, and judges how; true once after each end.
   bool ended();
   void check_limits();
+  double cpu() const;        // seconds of processor time of the running process
+  double memory_mb() const;  // its peak
   FaultControl& faults() { return *control_; }
   // Connections that it broke itself, by a failing call, until then.
   void breaks_connections_until(Sec until) { breaks_until_ = until; }
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -22,6 +22,7 @@
 constexpr int kObjects = 200;
 
 std::string settings_text(const Plan& plan, const Rules& rules) {
+  const int fleet = plan.fleet > 0 ? plan.fleet : plan.processes;
   const auto ms = [](Sec time) { return static_cast<int>(time * 1e3); };
   return fmt::format(
       R"({{"allowed":{{"cancel":true,"dial_timeout":1000,"idle_close":8000,"max_attempts":4,"max_retry_after":500,
@@ -35,8 +36,8 @@
 "merges_fills":true,"notes_given":"all","origin_kind":2,"second_tier_kind":1,"pass_on":[false,true,true],
 "peers_fill":"none","purge_settles":6000,"notice_time":{},"seats_by_zone":[0,{}],"upper_cold_from":{},
 "upper_fall_multiple":{},"parent_warms_in":{}}},"tick":1}})",
-      ms(rules.window), plan.processes, rules.cold_from, rules.cold_multiple, ms(rules.warm_after),
-      ms(rules.cold_window), ms(rules.drain_grace), ms(rules.purge_grace), plan.processes, rules.cold_from,
+      ms(rules.window), fleet, rules.cold_from, rules.cold_multiple, ms(rules.warm_after),
+      ms(rules.cold_window), ms(rules.drain_grace), ms(rules.purge_grace), fleet, rules.cold_from,
       rules.cold_multiple, ms(rules.warm_after));
 }
 
@@ -60,7 +61,8 @@
                                   .folder = fmt::format("{}/r{}", programs_.folder, n),
                                   .name = fmt::format("r{}", n),
                                   .number = n,
-                                  .port = ports_.take()}));
+                                  .port = ports_.take(),
+                                  .sockets = plan_.sockets}));
       clients_.push_back(std::make_unique<Clients>(
           scheduler_, outbox_, oracle_, *processes_.back(),
           Clients::Setup{.rate = plan_.rate, .seed = seed(1000 + n), .objects = kObjects}));
@@ -88,7 +90,16 @@
                        fmt::format("{} connections to servers", connections));
     for (const auto& p : processes_) read_guard(*p);
     oracle_.finish();
-    Result result{oracle_.violations(), {}, oracle_.counts(), oracle_.worst_lag(), connections};
+    Result result{.violations = oracle_.violations(),
+                  .traces = {},
+                  .counts = oracle_.counts(),
+                  .worst_lag = oracle_.worst_lag(),
+                  .connections = connections,
+                  .took = oracle_.took()};
+    for (const auto& p : processes_) {
+      result.cpu += p->cpu();
+      result.memory_mb = std::max(result.memory_mb, p->memory_mb());
+    }
     for (const auto& v : result.violations) result.traces.push_back(trace_of(v));
     return result;
   }
@@ -116,9 +127,9 @@
     auto& p = *processes_[static_cast<std::size_t>(n)];
     return fmt::format(
         R"({{"name":"r{}","seed":"{:x}","listen":"127.0.0.1:{}","bus":"127.0.0.1:{}","known":{},)"
-        R"("limits":{{"sockets":256,"memory_mb":48}},"settings":{}}})",
+        R"("limits":{{"sockets":{},"memory_mb":48}},"settings":{}}})",
         n, plan_.seed * 100 + static_cast<unsigned>(n), p.port(), discovery_.port(n),
-        discovery_.known(n, p.start_count() + 1, servers_), settings_text(plan_, rules_));
+        discovery_.known(n, p.start_count() + 1, servers_), plan_.sockets, settings_text(plan_, rules_));
   }
 
   void begin(int n) { processes_[static_cast<std::size_t>(n)]->begin(config(n)); }
@@ -260,8 +271,8 @@
     auto& p = *processes_[static_cast<std::size_t>(n)];
     return fmt::format(
         R"({{"name":"r{}","seed":"1","listen":"127.0.0.1:{}","bus":"127.0.0.1:{}","known":{{"offset":1,"batch":[]}},)"
-        R"("limits":{{"sockets":256,"memory_mb":48}},"settings":{}}})",
-        n, p.port(), discovery_.port(n), settings_text(plan_, rules_));
+        R"("limits":{{"sockets":{},"memory_mb":48}},"settings":{}}})",
+        n, p.port(), discovery_.port(n), plan_.sockets, settings_text(plan_, rules_));
   }
 
   Task end() {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -10,26 +10,23 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <map>
 #include <random>
 #include <set>
 #include <utility>
 
+#include "routing/endpoint_order.h"
+
 namespace walkpaddle {
 
+using routing::EndpointOrder;
+
 namespace {
 
 constexpr Sec kNever = 1e15;
 constexpr double kThreshold = 1;  // the design's forwarding threshold: kept from the second txn on
 constexpr int kLowestRank = 1, kMiddleRank = 2;
 
-// One step of splitmix64: spreads a member's hash against an object's, the same at every router.
-std::uint64_t mix(std::uint64_t x) {
-  x += 0x9e3779b97f4a7c15u;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
-  return x ^ (x >> 31);
-}
-
 // A copy is of one part. Guards against a hot object, or a flow, whose parts all meet at one cache.
 std::uint64_t copy_of(std::uint64_t object, int part) {
   return object ^ (static_cast<std::uint64_t>(part) * 0x9e3779b97f4a7c15u);
@@ -123,6 +120,9 @@
   int location = -1, cell = -1;
   Role role = Role::cache;
   bool listed = false, ready = false, seen = false, named = false, unreached = false;
+  bool counted = false;  // among those that are ready here, of the role counted_as
+  int counted_as = 0;
+  bool may_be_cold = false;      // it stands in `starting`
   double weight = 1, busy = -1;  // busy: as it reports, -1 if it does not
   Sec started = -kNever;
   double failing = 0;
@@ -194,16 +194,18 @@
   void set_list(bool must_ask) override { asks = must_ask; }
   void clock(Sec at) override { now = at; }
   void list_begin(bool whole) override {
-    for (auto& x : members) x.named = !whole;
+    list_whole = whole;
+    if (!whole) return;
+    for (auto& x : members) x.named = false;
   }
   void list_end() override {
-    for (auto& all : listed) all.clear();
-    for (std::size_t m = 0; m < members.size(); ++m) {
-      auto& x = members[m];
-      x.listed = x.listed && x.named;  // not in a whole list: gone
-      if (x.listed && (x.role != Role::cache || x.location == place.location))
-        listed[static_cast<int>(x.role)].push_back(static_cast<int>(m));
-    }
+    if (list_whole)
+      for (std::size_t m = 0; m < members.size(); ++m) {
+        auto& x = members[m];
+        if (x.listed && !x.named)
+          x.listed = false, changed.push_back(static_cast<int>(m));  // not in it: gone
+      }
+    for (const int m : std::exchange(changed, {})) take_in_order(m);
   }
   void list_failed() override { ask_at = now + 1; }
   void txn_left(int i) override {
@@ -283,7 +285,11 @@
 
   Counts counts;
   std::vector<Member> members;
-  std::vector<int> listed[3];  // by role: those a hop may go to
+  EndpointOrder listed[3];    // by role: those a hop may go to
+  int ready_here[3] = {};     // of these, the ready ones
+  bool list_whole = false;    // the list that is being told
+  std::vector<int> changed;   // members that it has named so far
+  std::vector<int> starting;  // members that may be cold
   std::vector<Txn> txns;
   Limit link{.cap = 8, .least = 1.5};  // this router's fills over the location's link in
   std::set<std::pair<Sec, int>> due;   // txns that wait for a time
@@ -299,6 +305,22 @@
     return members[m];
   }
 
+  // A member's place among those that a hop may go to, as its listing now is.
+  void take_in_order(int m) {
+    auto& x = members[m];
+    const auto role = static_cast<std::size_t>(x.role);
+    for (std::size_t r = 0; r < std::size(listed); ++r)
+      if (r != role) listed[r].remove(m);
+    const bool here = x.listed && (x.role != Role::cache || x.location == place.location);
+    if (here)
+      listed[role].add(m, x.hash, x.weight);
+    else
+      listed[role].remove(m);
+    if (x.counted) --ready_here[x.counted_as];
+    x.counted = here && x.ready, x.counted_as = static_cast<int>(role);
+    if (x.counted) ++ready_here[role];
+  }
+
   void list_member(int m, std::uint64_t hash, int location, int kind, int cell, Listed state, double weight,
                    Sec started) override {
     auto& x = member(m);
@@ -310,6 +332,7 @@
     x.weight = weight > 0 ? weight : 1;
     x.ready = state == Listed::ready;
     x.listed = state != Listed::gone;
+    changed.push_back(m);
     if (!x.listed) return;
     x.seen = x.named = true;
     if (first) {
@@ -324,6 +347,7 @@
   void begin_afresh(Member& x, Sec started) {
     x.started = started;
     if (!is_cold(x)) return;
+    if (!std::exchange(x.may_be_cold, true)) starting.push_back(static_cast<int>(&x - members.data()));
     constexpr double kFirst = 2;  // a fresh member's cap; grows with its answers
     x.hops.cap = x.fills.cap = kFirst, x.hops.crowded = x.fills.crowded = true;
     // A random phase: the first hops of many routers must not meet there.
@@ -374,7 +398,7 @@
   // A member with several hops out and no answer for many times its usual gap is taken as silent; the hops
   // that wait there are moved.
   void look_for_silence() {
-    std::vector<int> waiting(members.size());
+    std::map<int, int> waiting;  // by member
     const auto silent = [&](const Member& x, Sec sent) {
       return now - std::max({x.heard, x.busy_since, sent}) > std::clamp(8 * x.gap, 0.6, 5.0);
     };
@@ -386,8 +410,8 @@
       for (const auto& h : t.hops)
         if (h.out && t.stands_for <= 0)  // what follows a lookup is never heard of
           if (const int m = stuck(h); m >= 0) ++waiting[m];
-    for (std::size_t m = 0; m < members.size(); ++m)
-      if (waiting[m] >= 2 && now >= members[m].aside_until) ++ejected.silent, set_aside(members[m]);
+    for (const auto& [m, attempts] : waiting)
+      if (attempts >= 2 && now >= members[m].aside_until) ++ejected.silent, set_aside(members[m]);
     if (!hopping.can_call_off) return;
     for (std::size_t i = 0; i < txns.size(); ++i) {
       auto& t = txns[i];
@@ -458,11 +482,12 @@
   }
   void count_warm(Sec since) {
     constexpr Sec kOver = 4;  // smooths single heavy answers
+    std::erase_if(starting, [&](int m) { return !(members[m].may_be_cold = is_cold(members[m])); });
     for (const auto role : {Role::cache, Role::par}) {
       auto& w = warm[role == Role::par];
-      const auto& all = listed[static_cast<int>(role)];
-      const auto members_warm =
-          std::ranges::count_if(all, [&](int m) { return members[m].ready && !is_cold(members[m]); });
+      const auto cold = std::ranges::count_if(
+          starting, [&](int m) { return members[m].counted && members[m].role == role; });
+      const auto members_warm = ready_here[static_cast<int>(role)] - cold;
       // With none warm, what was known of them stands.
       if (members_warm > 0) w.rate += (w.served / members_warm / since - w.rate) * since / kOver;
       w.served = 0;
@@ -484,18 +509,10 @@
 
   // ---- picking -----------------------------------------------------------------------------------------
 
-  // Members of a role in the hash order of an object, each by its told size: a member of twice the size comes
-  // first for twice the objects. Guards against small parents that jam while large ones have room.
-  std::vector<int> order(std::uint64_t object, Role role) const {
-    std::vector<std::pair<double, int>> ranked;
-    for (const int m : listed[static_cast<int>(role)]) {
-      const double u = (static_cast<double>(mix(object ^ mix(members[m].hash)) >> 11) + 0.5) * 0x1p-53;
-      ranked.emplace_back(-std::log(u) / members[m].weight, m);
-    }
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<int> all;
-    for (const auto& [score, m] : ranked) all.push_back(m);
-    return all;
+  // Members of a role in the hash order of an object, each by its told size. Prevents small parents that jam
+  // while large ones have room.
+  EndpointOrder::Ranking order(std::uint64_t object, Role role) const {
+    return {listed[static_cast<int>(role)], object};
   }
 
   static bool failed_at(const Txn& t, int m) {
@@ -519,24 +536,27 @@
   }
 
   // The first in order that is usable and fits; without room everywhere the txn waits.
-  int first_of(const std::vector<int>& all, const std::function<bool(int)>& fit) const {
-    for (const int m : all)
-      if (usable(members[m]) && fit(m)) return m;
-    return -1;
+  int first_of(EndpointOrder::Ranking& all, const std::function<bool(int)>& fit) const {
+    for (std::size_t place = 0;; ++place) {
+      const int m = all.at(place);
+      if (m < 0 || (usable(members[m]) && fit(m))) return m;
+    }
   }
 
   int pick_source(const Txn& t) {
     const double w = weight_of(t), work = work_of(t);
     const auto room = [&](int m) { return members[m].fills.room(w, now); };
-    const int par = first_of(order(t.object, Role::par), [&](int m) {
-      return room(m) && !failed_from(t, m) && cold_room(members[m], work);
-    });
-    return par >= 0 ? par : first_of(order(t.object, Role::origin), room);
+    auto parents = order(t.object, Role::par);
+    const int par = first_of(
+        parents, [&](int m) { return room(m) && !failed_from(t, m) && cold_room(members[m], work); });
+    if (par >= 0) return par;
+    auto origins = order(t.object, Role::origin);
+    return first_of(origins, room);
   }
 
   int origin() const {
-    const auto& all = listed[static_cast<int>(Role::origin)];
-    return all.empty() ? -1 : all.front();
+    const auto& all = listed[static_cast<int>(Role::origin)].all();
+    return all.empty() ? -1 : all.front().index;
   }
 
   struct Route {
@@ -544,24 +564,33 @@
     bool held_only = false;
   };
 
+  // What the usable members have out, and their weights, in sum.
+  struct Sums {
+    double used = 0, size = 0;
+  };
+  Sums sums_of(EndpointOrder::Ranking& all) const {
+    Sums sums;
+    for (std::size_t place = 0; place < all.size(); ++place)
+      if (const auto& x = members[all.at(place)]; usable(x)) sums.used += x.hops.used, sums.size += x.weight;
+    return sums;
+  }
+
   Route pick(Txn& t) {
     Route p;
     const double work = cold_work(t.rule), w = weight_of(t);
     const auto& e = counts.at(t.copy, now);
     const bool sib_known = e.sib >= 0 && now - e.sib_at < 10;  // about as long as pooled caches keep things
-    const auto caches = order(t.copy, Role::cache);
-    double used = 0, size = 0;
-    bool none_left = true;
+    auto caches = order(t.copy, Role::cache);
     const double chance = t.looked ? 1 : misses.mean;  // that this hop draws a fill
-    for (const int m : caches)
-      if (usable(members[m])) {
-        used += members[m].hops.used, size += members[m].weight;
-        none_left = none_left && (failed_at(t, m) || !cold_room(members[m], work));
-      }
     constexpr double kOver = 1.3, kFew = 8;  // mean txns: less moves hot objects about, more jams a cache
+    std::optional<Sums> sums;                // looked at only where a member has more than a few
     const auto takes = [&](int m) {
       const auto& x = members[m];
-      const double fair_part = std::max(kFew, kOver * (used + 1) * x.weight / std::max(size, 1e-9));
+      double fair_part = kFew;
+      if (x.hops.used + w > kFew) {
+        if (!sums) sums = sums_of(caches);
+        fair_part = std::max(kFew, kOver * (sums->used + 1) * x.weight / std::max(sums->size, 1e-9));
+      }
       // No answer will make a limit grow for lookups: one that was never cut does not hold them.
       const bool room = x.hops.room(w, now) || (t.stands_for > 0 && !x.hops.crowded);
       return !failed_at(t, m) && room && x.hops.used + w <= fair_part && cold_room(x, work, t.stands_for);
@@ -593,22 +622,25 @@
     if (!t.looked)
       if (const int m = first_of(caches, takes); m >= 0) return {m, m, false};
     // No cache of the location can take it: straight to a parent. Never because the caches are merely full.
-    if (!roles.direct || !none_left || !link.room(w, now)) return {};
+    const auto left = [&](int m) { return !failed_at(t, m) && cold_room(members[m], work); };
+    if (!roles.direct || first_of(caches, left) >= 0 || !link.room(w, now)) return {};
     p.member = pick_source(t);
-    p.source =
-        first_of(order(t.object, Role::origin), [](int) { return true; });  // a parent alone fills nothing
+    auto origins = order(t.object, Role::origin);
+    p.source = first_of(origins, [](int) { return true; });  // a parent alone fills nothing
     return p.source < 0 ? Route{} : p;
   }
 
   // An uncacheable rule goes straight to the origin, or through a cache where the origin takes no hops.
   Route pass(const Txn& t) {
     int origin = -1;  // also while set aside: nobody else can run it
-    for (const int m : order(t.object, Role::origin))
-      if (members[m].ready) origin = m;
+    auto origins = order(t.object, Role::origin);
+    for (std::size_t place = 0; place < origins.size(); ++place)
+      if (const int m = origins.at(place); members[m].ready) origin = m;
     if (origin < 0) return {};
     if (roles.direct) return {origin, origin, false};
-    const int cache = first_of(order(t.copy, Role::cache),
-                               [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); });
+    auto caches = order(t.copy, Role::cache);
+    const int cache =
+        first_of(caches, [&](int m) { return !failed_at(t, m) && cold_room(members[m], work_of(t)); });
     return {cache, cache < 0 ? -1 : origin, false};
   }
 
--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -35,7 +35,7 @@
   bool wants_descriptors = false;  // its dial waits for one: our own want, no sign of its health
   Sec quickest = 0.05;  // least time from a hop to its answer; at first more than any way between machines
   Sec usual = 0.1;      // mean time from a hop to its answer; at first that of a slow server
-  std::deque<Hop*> waiting;
+  std::vector<Hop*> waiting;  // in the order of their coming
 };
 
 Hop::Hop(Scheduler& scheduler, Caches& caches, What what)
@@ -48,6 +48,7 @@
 }
 
 Hop::~Hop() {
+  if (!ended()) caches_.hops_.erase(place_);
   caches_.give_up(*this);
   ended_as(Verdict::called_off);
 }
@@ -58,6 +59,7 @@
 }
 
 void Hop::finish(Verdict verdict) {
+  if (!ended()) caches_.hops_.erase(place_);
   ended_as(verdict);
   if (caches_.guard_ != nullptr)
     ++caches_.guard_->counters().attempts_ended[static_cast<std::size_t>(verdict)];
@@ -165,14 +167,9 @@
 
 template <class F>
 void Caches::drop_unsent(F&& concerned) {
-  for (auto& p : peers_) {
-    std::vector<Hop*> hops(p->waiting.begin(), p->waiting.end());
-    for (const auto* c : p->connections)
-      for (const auto& [id, hop] : c->open)
-        if (hop != nullptr) hops.push_back(hop);
-    for (auto* hop : hops)
-      if (concerned(*hop)) hop->drop_unsent();
-  }
+  const std::vector<Hop*> hops(hops_.begin(), hops_.end());
+  for (auto* hop : hops)
+    if (concerned(*hop)) hop->drop_unsent();
 }
 
 void Caches::told(int member, const Address& address, Listed state) {
@@ -199,6 +196,7 @@
 
 void Caches::start(Hop& hop) {
   auto& p = peer(hop.what_.member);
+  hop.place_ = hops_.insert(hops_.end(), &hop);
   p.waiting.push_back(&hop);
   place(p);
   if (!hop.ended() && hop.state_ == Hop::State::waiting) dial_for(hop.what_.member);
@@ -338,9 +336,8 @@
 // With all places taken, an idle connection to another peer goes: its descriptor is free at the turn's end.
 bool Caches::make_room() {
   Connection* first = nullptr;
-  for (const auto& p : peers_)
-    for (auto* c : p->connections)
-      if (c->up && !c->silent && c->live == 0 && (first == nullptr || c->used < first->used)) first = c;
+  for (auto* c : all_connections_)
+    if (c->up && !c->silent && c->live == 0 && (first == nullptr || c->used < first->used)) first = c;
   if (first != nullptr) {
     first->silent = true, first->closing = guard::EndpointClose::made_room;
     first->stream.close();
@@ -387,15 +384,18 @@
   count.hold();
   Connection c(scheduler_, outbox_, std::move(fd), member);
   struct Place {
+    Caches& caches;
     Peer& peer;
     Connection& connection;
-    std::list<Connection*>::iterator at;
+    std::list<Connection*>::iterator at, among_all;
     ~Place() {  // also when the task is dropped before those of its hops
       for (const auto& [id, hop] : connection.open)
         if (hop != nullptr) hop->over_ = nullptr;
       peer.connections.erase(at);
+      caches.all_connections_.erase(among_all);
     }
-  } place_in_list{p, c, p.connections.insert(p.connections.end(), &c)};
+  } place_in_list{*this, p, c, p.connections.insert(p.connections.end(), &c),
+                  all_connections_.insert(all_connections_.end(), &c)};
   const bool in_time = co_await c.stream.writable(scheduler_.now() + dial_within_);
   count.is_up();
   if (const int error = c.stream.error(); !in_time || error != 0) {
--- a/src/net/caches.h
+++ b/src/net/caches.h
@@ -20,6 +20,7 @@
 namespace walkpaddle::net {
 
 class Caches;
+struct Connection;
 
 // How a hop ended, as the module is told it, with what goes on to the client.
 struct HopEnd {
@@ -75,8 +76,9 @@
   What what_;
   Event event_;
   State state_ = State::waiting;
-  struct Connection* over_ = nullptr;
-  bool begun_ = false;  // the guard let it pass, and does not know its end
+  Connection* over_ = nullptr;
+  std::list<Hop*>::iterator place_;  // among those that have not ended
+  bool begun_ = false;               // the guard let it pass, and does not know its end
   Sec started_, written_at_ = 0, settled_at_ = 0;
   std::uint64_t first_byte_ = 0, last_byte_ = 0;  // its place in the connection's bytes
   HopEnd end_;
@@ -138,6 +140,8 @@
   const Sec dial_within_, idle_;
   const bool cancels_;
   std::size_t connections_ = 0;  // of all peers, dials included, that hold a descriptor
+  std::list<Connection*> all_connections_;
+  std::list<Hop*> hops_;  // those that have not ended
   std::vector<std::unique_ptr<Peer>> peers_;
   std::unordered_map<std::string, int> index_;
   Commands* commands_ = nullptr;
