--- a/soak/oracle.cpp
+++ b/soak/oracle.cpp
@@ -14,9 +14,10 @@
 namespace {
 
 constexpr std::string_view kNames[kInvariants] = {
-    "answer_once",       "answer_in_time", "effect_once", "attempt_after_leave", "deadline_passed",
-    "drain_kept",        "slow_start",     "purge_kept",  "copy_named",          "refusal_harmless",
-    "attempt_after_end", "ends_in_time",   "stays_up",    "connections_bounded", "guard"};
+    "answer_once",     "answer_in_time",      "effect_once",       "attempt_after_leave",
+    "deadline_passed", "drain_kept",          "slow_start",        "purge_kept",
+    "copy_named",      "refusal_harmless",    "attempt_after_end", "ends_in_time",
+    "stays_up",        "connections_bounded", "refused_bounded",   "guard"};
 
 constexpr Sec kPageSlack = 0.05;  // of every time limit on sockets
 constexpr Sec kLateWorth = 0.5;   // an answer so late is not lost yet
--- a/soak/oracle.h
+++ b/soak/oracle.h
@@ -32,6 +32,7 @@
   ends_in_time,
   stays_up,
   connections_bounded,
+  refused_bounded,
   guard,  // a router's own guard refused a step: something else in it would have broken a promise
   count
 };
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -130,6 +130,7 @@
                          CFG_INT("parents", 2, CFGF_NONE),
                          CFG_FLOAT("rate", 25, CFGF_NONE),
                          CFG_INT("most_connections", 0, CFGF_NONE),
+                         CFG_INT("most_refused", 0, CFGF_NONE),
                          CFG_SEC("trouble", trouble_options, CFGF_MULTI),
                          CFG_INT(control::kEnd, 0, CFGF_NONE),
                          CFG_END()};
@@ -142,6 +143,7 @@
             .servers = static_cast<int>(cfg_getint(all, "servers")),
             .parents = static_cast<int>(cfg_getint(all, "parents")),
             .rate = cfg_getfloat(all, "rate"),
+            .most_refused = static_cast<int>(cfg_getint(all, "most_refused")),
             .most_connections = static_cast<int>(cfg_getint(all, "most_connections"))};
   constexpr int kMostProcesses = 60, kMostServers = 200;
   if (plan.processes < 1 || plan.processes > kMostProcesses || plan.servers < 1 ||
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -83,6 +83,7 @@
   double rate = 25;          // requests a second at each router
   int sockets = 256;         // descriptors that a router may hold
   int fleet = 0;             // routers by the settings; 0: as many as run
+  int most_refused = 0;      // requests, of all routers together; 0: not judged
   int most_connections = 0;  // to servers, of all routers together; 0: not judged
   std::vector<Trouble> troubles{};
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -88,6 +88,9 @@
     if (plan_.most_connections > 0 && connections > static_cast<std::uint64_t>(plan_.most_connections))
       oracle_.violated(Invariant::connections_bounded, -1, 0,
                        fmt::format("{} connections to servers", connections));
+    const auto refused = oracle_.counts().refused;
+    if (plan_.most_refused > 0 && refused > static_cast<std::uint64_t>(plan_.most_refused))
+      oracle_.violated(Invariant::refused_bounded, -1, 0, fmt::format("{} requests refused", refused));
     for (const auto& p : processes_) read_guard(*p);
     oracle_.finish();
     Result result{.violations = oracle_.violations(),
