From the second attempt that fails at once on, those left are spread over the time left

Change: after a second no_connection or broken the request waits a quarter of its time left over the attempts left, 0.02 to 0.5 s. Ruled out: a pause after the first failure too (another endpoint mostly takes it at once).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -162,7 +162,7 @@
 struct Txn {
   bool live = false, keep = false, queued = false, looked = false, par_lacks = false, erred = false,
        sized = false;  // sized: by the client
-  int rule = 0, out = 0, turned_away = 0;
+  int rule = 0, out = 0, turned_away = 0, failed_at_once = 0;
   std::uint64_t object = 0, copy = 0;  // copy: of its object's part
   std::uint32_t group = 0;
   double kbytes = 0, in_flight = 1, stands_for = 0;  // stands_for: a lookup's unseen txns, 0 for a txn
@@ -883,6 +883,16 @@
       // Turned away: again after a growing pause, so that a crowd is not answered with a storm.
       return hold(i, (note == Note::origin_failed ? 0.5 : 0.02) * (1 << std::min(4, t.turned_away++)));
     }
+    // One that fails at once is repeated at once, elsewhere; from the second on the attempts that are left
+    // are spread over a part of the time that is left. Prevents requests refused with most of their time
+    // left, where every endpoint fails for a moment.
+    const bool at_once = v == Verdict::no_connection || v == Verdict::broken;
+    if (at_once && ++t.failed_at_once > 1) {
+      constexpr double kPart = 0.25;
+      constexpr Sec kLeast = 0.02, kMost = 0.5;
+      const int attempts_left = std::max(1, hopping.most - static_cast<int>(t.hops.size()));
+      return hold(i, std::clamp(kPart * (t.expires - now) / attempts_left, kLeast, kMost));
+    }
     want(i);
   }
 
