A request's time runs from when it was sent: what waited for the thread is taken off

Cause: Clients::order_of counted the limit from the read; bytes that came while the process stood still, or was busy with a long turn, had their whole limit again, so that servers were told up to 0.45 s too much (slack 0.15). Change: Scheduler::late() tells how long what is read in a turn may have waited, also when the stop interrupted the wait; the limit is counted from there. Ruled out: the time of the turn alone (a stop interrupts epoll_wait, whose edges come with the next turn).

--- a/src/io/scheduler.cpp
+++ b/src/io/scheduler.cpp
@@ -104,9 +104,11 @@
   constexpr int kAtOnce = 256;  // more wait for the next turn, which comes at once
   epoll_event events[kAtOnce];
   timespec wait{0, 0}, *until = nullptr;
+  const Sec turn_began = now_;
+  read_clock();
+  const Sec waits_from = now_;
   const Sec first = std::min(turn_by_, timers_.empty() ? kNoTime : timers_.begin()->first);
   if (first < kNoTime) {
-    read_clock();
     const Sec left = std::clamp(first - now_, 0.0, 3600.0);
     wait.tv_sec = static_cast<time_t>(left);
     wait.tv_nsec = static_cast<long>((left - std::floor(left)) * 1e9);
@@ -115,6 +117,10 @@
   const int got = ::epoll_pwait2(epoll_.get(), events, kAtOnce, until, nullptr);
   if (got < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_pwait2");
   read_clock();
+  // A stop interrupts the wait, which then tells of no edges: those of the next turn have waited as long.
+  const Sec late = waits_from - turn_began + std::max(0.0, now_ - std::max(first, waits_from));
+  late_ = std::exchange(interrupted_late_, 0) + late;
+  if (got < 0) interrupted_late_ = late_;
   if (now_ >= turn_by_) turn_by_ = kNoTime, watch_refused_again();
   told_.clear();
   for (int n = 0; n < got; ++n) told_.push_back(static_cast<Watcher*>(events[n].data.ptr));
--- a/src/io/scheduler.h
+++ b/src/io/scheduler.h
@@ -76,7 +76,10 @@
   ~Scheduler();
 
   Sec now() const { return now_; }  // Unix time, read once a turn
-  void start(Task task);            // runs it up to its first wait, then goes on with the caller
+  // What is read in this turn may have waited so long for this thread: it was busy with the turn before, or
+  // the process stood still.
+  Sec late() const { return late_; }
+  void start(Task task);  // runs it up to its first wait, then goes on with the caller
   // The same for a task whose failure concerns it alone: an exception that leaves it ends it, not the
   // program.
   void start_isolated(Task task);
@@ -113,7 +116,7 @@
   std::vector<std::function<void()>> ends_;
   std::vector<Watcher*> told_;    // this turn's; null: forgotten since
   std::vector<Refused> refused_;  // not watched yet: at most one for each open descriptor
-  Sec turn_by_ = kNoTime;
+  Sec turn_by_ = kNoTime, late_ = 0, interrupted_late_ = 0;
   OnFailure on_failure_;
 };
 
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -297,7 +297,8 @@
   };
   o.id_text = needed("txn");
   o.id = hex16(o.id_text, "txn");
-  o.expires = scheduler_.now() + whole(needed("limit"), "limit", 1, kLongestLimit) / 1e3;
+  // The client's time runs since it sent the request, which may have waited for us.
+  o.expires = scheduler_.now() - scheduler_.late() + whole(needed("limit"), "limit", 1, kLongestLimit) / 1e3;
   o.object_text = needed("item");
   hex16(o.object_text, "item");
   o.part_text = needed("seg");
