Clients of the soak give up more often, and the oldest first

Change: half of a percent of all looks, and clients that leave give up their oldest request. Ruled out: a hole in the check itself.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -14,9 +14,10 @@
 namespace {
 
 constexpr std::uint32_t kLoopback = 0x7f000001;
-constexpr Sec kCrossing = 0.05;     // a request that crosses an idle close within that is sent again, once
-constexpr Sec kIdleClose = 4;       // clients close connections that rest so long
-constexpr Sec kLongestWrite = 0.2;  // of a request that trickles: it was begun so long before its last byte
+constexpr Sec kCrossing = 0.05;       // a request that crosses an idle close within that is sent again, once
+constexpr Sec kIdleClose = 4;         // clients close connections that rest so long
+constexpr Sec kLongestWrite = 0.2;    // of a request that trickles: it was begun so long before its last byte
+constexpr double kImpatient = 0.005;  // of the looks at what is open
 constexpr int kLeastConnections = 4;
 constexpr double kEachConnection = 8;  // requests a second: many rest, or ask a few times
 
@@ -162,6 +163,13 @@
   oracle_.crossed(request.id);
 }
 
+void Clients::forget_oldest(Conversation& c) {
+  const auto oldest = std::ranges::min_element(c.open, {}, [](const auto& o) { return o.second.sent; });
+  c.link->write(net::words_text({"FORGET", oldest->first}));
+  oracle_.left(oldest->second.id), --open_;
+  c.open.erase(oldest);
+}
+
 void Clients::leave(Conversation& c) {
   for (const auto& [tag, request] : c.open) oracle_.left(request.id), --open_;
   c.open.clear();
@@ -202,15 +210,14 @@
       const Sec now = scheduler_.now();
       const bool idle = c.open.empty();
       if (idle && (over_ || (left <= 0 && !rests) || now > c.quiet_since + kIdleClose)) break;
-      if (drawn(Kind::clients_leave) && !idle && roll() < 0.2) {
-        if (roll() < 0.5) {
+      // Some give up what they wait for; where clients leave, many do, and some close at once.
+      const bool leaves = drawn(Kind::clients_leave);
+      if (!idle && (leaves || roll() < kImpatient)) {
+        if (leaves && roll() < 0.3) {
           leave(c);
           break;
         }
-        const auto it = c.open.begin();
-        c.link->write(net::words_text({"FORGET", it->first}));
-        oracle_.left(it->second.id), --open_;
-        c.open.erase(it);
+        forget_oldest(c);
       }
       if (drawn(Kind::clients_half_close) && roll() < 0.1) {
         leave(c);
--- a/soak/clients.h
+++ b/soak/clients.h
@@ -43,6 +43,7 @@
   void take_answers(Conversation& c);
   void at_end(Conversation& c);
   void ask_across_end(Conversation& c);
+  void forget_oldest(Conversation& c);
   void leave(Conversation& c);
   bool active(Kind kind) const { return scheduler_.now() < active_[static_cast<int>(kind)].until; }
   double size(Kind kind) const { return active_[static_cast<int>(kind)].size; }
