--- /dev/null
+++ b/tests/hunt.cpp
@@ -0,0 +1,163 @@
+// What the fault hunt found or refuted, part by part: the guard's answers, stamps on our clock, the order of
+// endpoints, attempts that wait in our own buffer.
+#define CATCH_CONFIG_MAIN
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "guard/guard.h"
+#include "net/caches.h"
+#include "net/discovery_clock.h"
+#include "routing/endpoint_order.h"
+#include "standins/world.h"
+
+using namespace walkpaddle;
+
+namespace {
+
+guard::AttemptFacts good_attempt(Sec deadline) {
+  return {.endpoint = Listed::ready, .source = Listed::ready, .deadline = deadline};
+}
+
+}  // namespace
+
+TEST_CASE("the guard refuses each step that would break a promise, and counts and reports it") {
+  using guard::Invariant;
+  std::vector<std::pair<Invariant, std::uint64_t>> reports;
+  guard::Guard guard([&](Invariant broken, std::uint64_t request) { reports.emplace_back(broken, request); });
+  guard::RequestRecord once(7, {Effect::unrepeatable, 0}, 10), keyed(8, {Effect::keyed, 2}, 10),
+      free(9, {Effect::repeatable, 0}, 10);
+
+  CHECK(guard.may_begin(once, good_attempt(9), 1) == Invariant::none);
+  CHECK(guard.may_begin(once, good_attempt(9), 1) == Invariant::one_attempt_out);
+  guard.attempt_ended(once, Verdict::not_taken, 1);  // proves that it never ran
+  CHECK(guard.may_begin(once, good_attempt(9), 1) == Invariant::none);
+  guard.attempt_ended(once, Verdict::broken, 1);
+  CHECK(guard.may_begin(once, good_attempt(8), 2) == Invariant::effect_once);
+  CHECK(guard.may_refuse(once) == Invariant::refusal_harmless);
+
+  CHECK(guard.may_begin(keyed, good_attempt(9), 1) == Invariant::none);
+  guard.attempt_ended(keyed, Verdict::timed_out, 1);
+  CHECK(guard.may_begin(keyed, good_attempt(7), 2.9) == Invariant::none);
+  guard.attempt_ended(keyed, Verdict::timed_out, 2.9);
+  CHECK(guard.may_begin(keyed, good_attempt(6), 3.1) == Invariant::effect_once);
+
+  auto attempt = good_attempt(9.2);
+  CHECK(guard.may_begin(free, attempt, 1) == Invariant::deadline_passed);
+  attempt.deadline = 9, attempt.source = Listed::draining;
+  CHECK(guard.may_begin(free, attempt, 1) == Invariant::drain_kept);
+  attempt.source = Listed::ready, attempt.connection_ended = true;
+  CHECK(guard.may_begin(free, attempt, 1) == Invariant::attempt_after_end);
+  attempt.connection_ended = false;
+  free.purged(5);
+  CHECK(guard.may_begin(free, attempt, 1) == Invariant::purge_kept);
+  attempt.copies_since = 5;
+  CHECK(guard.may_begin(free, attempt, 1) == Invariant::none);
+  CHECK(guard.may_call_current(free, "", "") == Invariant::copy_named);
+  CHECK(guard.may_call_current(free, "a", "a") == Invariant::none);
+  CHECK(guard.may_answer(free) == Invariant::none);
+  CHECK(guard.may_answer(free) == Invariant::answer_once);
+  once.client_left();
+  CHECK(guard.may_begin(once, good_attempt(8), 2) == Invariant::attempt_after_leave);
+  CHECK(guard.may_end_answers(1, 0) == Invariant::close_idle_only);
+  CHECK(guard.may_end_answers(0, 0) == Invariant::none);
+  CHECK(guard.may_say_ready(false, true) == Invariant::ready_when_serving);
+  CHECK(guard.may_take(false) == Invariant::attempt_after_end);
+
+  CHECK(guard.violations() == reports.size());
+  CHECK(guard.violations(Invariant::effect_once) == 2);
+  CHECK(std::ranges::count(reports, std::pair(Invariant::effect_once, std::uint64_t{7})) == 1);
+}
+
+TEST_CASE(
+    "a stamp never makes a purge older or a start earlier than it was, however the clocks differ or step") {
+  const Sec skew = GENERATE(-3600.0, -2.0, 0.0, 2.0, 3600.0);  // our clock less discovery's
+  const Sec step = GENERATE(-3600.0, -3.0, 0.0, 3.0, 3600.0);  // of discovery's, at 10
+  CAPTURE(skew, step);
+  std::mt19937 chance(1);
+  std::uniform_real_distribution<> late(0.03, 0.4);
+  net::DiscoveryClock clock;
+  constexpr Sec kEpoch = 1e9;
+  const auto stamp = [&](Sec at) { return kEpoch + at - skew + (at >= 10 ? step : 0); };
+  clock.begin_known(stamp(-1), 0);
+  CHECK(clock.purged_at(stamp(-1), 0) >= -1);
+  CHECK(clock.purged_at(stamp(-5), 0) >= -5 - 1e-6);
+  CHECK(clock.started_at(1, stamp(-5), 0) >= -5 - 1e-6);
+  clock.end_known();
+  for (Sec at = 0.5; at < 20; at += 0.5) {
+    const Sec arrival = at + late(chance);
+    clock.heard(arrival);
+    CHECK(clock.purged_at(stamp(at), arrival) >= at);
+    const int member = 10 + static_cast<int>(at * 2);
+    const Sec start = clock.started_at(member, stamp(at), arrival);
+    // After a step back of seconds, which no bound can tell from a late event, a start may look as much
+    // earlier.
+    CHECK(start >= at - (step < 0 && at >= 10 ? std::min(-step, 7.5) : 0) - 1e-6);
+    CHECK(start <= arrival);
+    CHECK(clock.started_at(member, stamp(at), arrival + 5) == start);
+  }
+}
+
+TEST_CASE("the order of endpoints is that of all their costs sorted, however far it is asked") {
+  std::mt19937_64 chance(3);
+  const bool weighted = GENERATE(false, true);
+  routing::EndpointOrder order;
+  for (int n = 0; n < 300; ++n) order.add(n, chance(), weighted ? 0.5 + n % 4 : 1);
+  for (int n = 0; n < 300; n += 7) order.remove(n);
+  for (int object = 0; object < 50; ++object) {
+    const auto hash = chance();
+    routing::EndpointOrder::Ranking few(order, hash), all(order, hash);
+    std::vector<int> ranked;
+    CHECK(all.at(order.all().size() - 1) >= 0);  // asked for the last first: all are ranked
+    for (std::size_t place = 0; all.at(place) >= 0; ++place) ranked.push_back(all.at(place));
+    REQUIRE(ranked.size() == order.all().size());
+    for (std::size_t place = 0; place < 8; ++place) CHECK(few.at(place) == ranked[place]);
+    std::ranges::sort(ranked);
+    CHECK(std::ranges::adjacent_find(ranked) == ranked.end());
+  }
+}
+
+TEST_CASE("given a server that reads nothing, then attempts that never leave our buffer end unsent in time") {
+  constexpr int kAttempts = 300;
+  constexpr std::size_t kBody = 48'000;
+  Log log("hunt");
+  Scheduler scheduler;
+  Outbox outbox(scheduler, 64 << 20);
+  const Fd ear = listen_on(Address{0x7f000001, 0});
+  net::Caches caches(scheduler, outbox, log, 8, 1000, 5, 60, true);
+  const int server = caches.member("s-1");
+  caches.told(server, {0x7f000001, static_cast<std::uint16_t>(standins::port_of(ear.get()))}, Listed::ready);
+  const std::string body(kBody, 'x'), id = "00000000000000a0";
+  std::vector<std::unique_ptr<net::Hop>> attempts;
+  const auto follow = [&](net::Hop& attempt) -> Task {
+    while (!attempt.ended()) {
+      const bool told = co_await attempt.wait();
+      if (!told) attempt.time_came();
+    }
+  };
+  const auto story = [&]() -> Task {
+    for (int n = 0; n < kAttempts; ++n) {
+      attempts.push_back(
+          std::make_unique<net::Hop>(scheduler, caches,
+                                     net::Hop::What{server, server, static_cast<std::uint64_t>(n), id, body,
+                                                    "cls=page", scheduler.now() + 30, kNoTime, true, true}));
+      scheduler.start(follow(*attempts.back()));
+    }
+    Event pause(scheduler);
+    co_await pause.wait(scheduler.now() + 0.5);
+    scheduler.stop();
+  };
+  scheduler.start(story());
+  scheduler.run();
+  const auto unsent = std::ranges::count_if(
+      attempts, [](auto& a) { return a->ended() && a->end().verdict == Verdict::not_sent; });
+  // The kernel takes some megabytes of the 14; what it took may still be answered.
+  CHECK(unsent > kAttempts / 4);
+  CHECK(unsent < kAttempts);
+  scheduler.drop_tasks();
+}
