Known red: a disk that takes nothing for a moment ends the store until the next start

Measured: not written within 5 s of the disk's return. Ruled out: LMDB itself (its file opens and takes the same write).

--- a/tests/hunt.cpp
+++ b/tests/hunt.cpp
@@ -1,13 +1,19 @@
 // What the fault hunt found or refuted, part by part: the guard's answers, stamps on our clock, the order of
 // endpoints, attempts that wait in our own buffer.
 #define CATCH_CONFIG_MAIN
+#include <signal.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
+#include <filesystem>
+#include <map>
 #include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
 #include "guard/guard.h"
@@ -15,6 +21,7 @@
 #include "net/discovery_clock.h"
 #include "routing/endpoint_order.h"
 #include "standins/world.h"
+#include "store/store.h"
 
 using namespace walkpaddle;
 
@@ -161,3 +168,40 @@
   CHECK(unsent < kAttempts);
   scheduler.drop_tasks();
 }
+
+TEST_CASE(
+    "given a disk that takes nothing for a while, then what was handed to the store is written after it") {
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("walkpaddle-hunt-" + std::to_string(::getpid()));
+  std::filesystem::create_directory(folder);
+  ::signal(SIGXFSZ, SIG_IGN);
+  rlimit before{};
+  REQUIRE(::getrlimit(RLIMIT_FSIZE, &before) == 0);
+  // A bound on files stands in for a full disk: writes past it fail with EFBIG.
+  const auto bound = [&](rlim_t bytes) {
+    const rlimit limit{bytes, before.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_FSIZE, &limit) == 0);
+  };
+  const auto until = [](auto&& what) {
+    for (int looks = 0; looks < 500 && !what(); ++looks) ::usleep(10'000);
+    return what();
+  };
+  {
+    store::Store store({folder.string(), 4});
+    REQUIRE(store.put("first", "1", 1));
+    REQUIRE(until([&] { return store.written() == 1; }));
+    bound(std::filesystem::file_size(folder / "data.mdb"));
+    REQUIRE(store.put("second", std::string(100'000, '2'), 2));
+    CHECK(until([&] { return store.failed(); }));
+    CHECK(store.written() == 1);
+    bound(before.rlim_cur);
+    CHECK(until([&] { return store.written() == 2; }));
+    CHECK_FALSE(store.failed());
+    REQUIRE(store.put("third", "3", 3));
+  }
+  std::map<std::string, std::size_t> held;
+  store::Store again({folder.string(), 4});
+  again.each([&](std::string_view key, std::string_view value) { held[std::string(key)] = value.size(); });
+  CHECK(held == std::map<std::string, std::size_t>{{"first", 1}, {"second", 100'000}, {"third", 1}});
+  std::filesystem::remove_all(folder);
+}
