A store whose write failed tries again until it succeeds; what was taken on stays owed

Change: the batch is written again each 0.25 s, in order, after the environment is opened anew (LMDB may refuse all after a failed commit); failed() falls back when it succeeds, and one log line tells each way. Ruled out: a new transaction without opening anew (refused after a panic, by the library's page).

--- a/src/fleet/keeper.cpp
+++ b/src/fleet/keeper.cpp
@@ -70,7 +70,8 @@
   if (::read(store_.told(), &count, sizeof count) != sizeof count) return;
   purges_.stored(store_.written(), scheduler_.now());
   if (store_.failed() && !std::exchange(said_, true))
-    log_("store", "{}: purges issued here are accepted no more", store_.why());
+    log_("store", "{}: purges issued here are not accepted until it writes again", store_.why());
+  if (!store_.failed() && std::exchange(said_, false)) log_("store", "writes again");
 }
 
 void Keeper::pull() {
--- a/src/fleet/share.cpp
+++ b/src/fleet/share.cpp
@@ -99,9 +99,11 @@
 void Share::keep() {
   auto& store = *setup_.store;
   if (store.failed()) {
-    if (!std::exchange(said_failed_, true)) log_("store", "{}: facts of servers last no more", store.why());
+    if (!std::exchange(said_failed_, true))
+      log_("store", "{}: facts of servers do not last until it writes again", store.why());
     return;
   }
+  said_failed_ = false;
   std::map<replica::Watch::Key, replica::Stamp> now;
   for (const auto& f : watch_.facts().all()) {
     const replica::Watch::Key key{f.server, f.observer};
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <system_error>
 #include <utility>
@@ -80,7 +81,8 @@
 };
 
 Store::Store(const Setup& setup)
-    : parts_(std::make_unique<Parts>()),
+    : setup_(setup),
+      parts_(std::make_unique<Parts>()),
       told_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
       wanted_(::eventfd(0, EFD_CLOEXEC)) {
   if (!told_ || !wanted_) throw std::system_error(errno, std::generic_category(), "eventfd");
@@ -169,7 +171,30 @@
 
 bool Store::erase(std::string key) { return enqueue({std::move(key), {}, 0, true}); }
 
+std::string Store::why() const {
+  const std::lock_guard lock(why_guard_);
+  return why_;
+}
+
+void Store::failed_with(std::string why) {
+  {
+    const std::lock_guard lock(why_guard_);
+    why_ = std::move(why);
+  }
+  failed_.store(true, std::memory_order_release);
+}
+
+// After a failed commit the environment may refuse all that follows (MDB_PANIC); its file holds the last good
+// one.
+void Store::reopen() {
+  auto& p = *parts_;
+  if (p.env != nullptr) mdb_env_close(std::exchange(p.env, nullptr));
+  open(setup_);
+  check();
+}
+
 void Store::write_all() {
+  constexpr auto kAgain = std::chrono::milliseconds(250);
   auto& p = *parts_;
   const auto tell = [&] {
     const std::uint64_t one = 1;
@@ -185,6 +210,22 @@
     }
     if (const int code = txn.commit(); code != 0) p.refuse(std::string("commit: ") + mdb_strerror(code));
   };
+  // Until it is written; false if the program ends before.
+  const auto write_until_written = [&](const std::vector<Job>& batch) {
+    for (bool first = true;; first = false) {
+      try {
+        if (!first) reopen();
+        write_batch(batch);
+        failed_.store(false, std::memory_order_release);
+        return true;
+      } catch (const std::exception& e) {
+        failed_with(e.what());
+      }
+      if (first) tell();
+      if (ending_) return false;
+      std::this_thread::sleep_for(kAgain);
+    }
+  };
   std::vector<Job> batch;
   for (Job job;;) {
     batch.clear();
@@ -195,14 +236,7 @@
       if (::read(wanted_.get(), &count, sizeof count) != sizeof count && errno != EINTR) return;
       continue;
     }
-    try {
-      write_batch(batch);
-    } catch (const std::exception& e) {
-      why_ = e.what();
-      failed_.store(true, std::memory_order_release);
-      tell();
-      return;
-    }
+    if (!write_until_written(batch)) return;
     std::uint64_t mark = written_.load(std::memory_order_relaxed);
     for (const auto& j : batch) mark = std::max(mark, j.mark);
     written_.store(mark, std::memory_order_release);
