--- a/soak/endpoint.cpp
+++ b/soak/endpoint.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t kLoopback = 0x7f000001;
 constexpr Sec kWork = 0.004;      // to answer from a copy
 constexpr Sec kFetch = 0.008;     // from a source
+constexpr Sec kIdle = 0.05;       // quiet for so long, a connection is idle
 constexpr Sec kPurgeSettles = 6;  // as the settings say: by then no server has an older copy
 
 std::string version_tag(std::string_view item, Sec newest_purge) {
@@ -82,7 +83,7 @@
 
 void Endpoint::close_idle_connections() {
   for (auto& [link, open] : open_) {
-    if (!open.requests.empty()) continue;
+    if (!open.requests.empty() || scheduler_.now() < open.used + kIdle) continue;
     if (active(Kind::server_forgets_idle))
       open.forgotten = true;
     else if (active(Kind::server_resets_idle))
@@ -116,6 +117,7 @@
   constexpr Sec kLook = 0.02;
   auto link = std::make_shared<Link>(scheduler_, outbox_, std::move(fd));
   auto& open = open_[link];
+  open.used = scheduler_.now();
   auto& stream = link->stream();
   constexpr Sec kQueued = 0.1;
   bool exact = scheduler_.now() > not_accepting_at_ + kQueued;  // what is read next has just come
@@ -135,6 +137,7 @@
       co_await stream.readable(scheduler_.now() + 0.25);
       continue;
     }
+    open.used = scheduler_.now();
     try {
       take(link, exact);
     } catch (const Malformed& e) {
@@ -251,6 +254,7 @@
   bool ran = true;
   Sec made = 0;
   std::string named;
+  open->second.used = scheduler_.now();
   const auto answer = answer_for(id, fields, ran, made, named);
   oracle_.attempt_over(id, attempt, ran, made, named);
   send(link, answer);
--- a/soak/endpoint.h
+++ b/soak/endpoint.h
@@ -96,6 +96,7 @@
     std::set<std::uint64_t> requests;  // that are being worked on
     std::map<std::uint64_t, std::size_t> attempts;
     bool forgotten = false;
+    Sec used = 0;  // when something last came or went
   };
   std::map<std::shared_ptr<Link>, Open> open_;
 };
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -88,6 +88,14 @@
   const int targets = range.at == At::server ? plan.servers + plan.parents + (dies ? 0 : 1) : plan.processes;
   trouble.target = std::uniform_int_distribution<>(0, targets - 1)(chance);
   trouble.size = between(range.least, range.most);
+  // Some troubles strike all at once.
+  constexpr double kAll = 0.1;
+  const bool may_strike_all = kind == Kind::reload || kind == Kind::wall_step || kind == Kind::stall ||
+                              kind == Kind::server_closes_idle || kind == Kind::server_resets_idle ||
+                              kind == Kind::server_forgets_idle ||
+                              (kind >= Kind::discovery_down && kind <= Kind::discovery_late) ||
+                              range.at == At::clients;
+  if (may_strike_all && between(0, 1) < kAll) trouble.target = -1;
   // Half of the clocks step by seconds, the others by up to an hour.
   if (kind == Kind::wall_step && between(0, 1) < 0.5) trouble.size /= 600;
   return trouble;
@@ -107,10 +115,20 @@
     // Each router sees several of these; at the same moment, or within a second of each other.
     const int together = 2 + static_cast<int>(3 * roll(chance)) + processes / 8;
     const int router = static_cast<int>(processes * roll(chance));
+    // What else may happen to a process while it ends.
+    if (roll(chance) < 0.2) {
+      constexpr Sec kEnds = 1;
+      for (const auto kind : {Kind::terminate, Kind::terminate, Kind::reload, Kind::stall})
+        plan.troubles.push_back({.kind = kind,
+                                 .at = at + kEnds * roll(chance),
+                                 .lasts = kind == Kind::stall ? 0.3 : 0,
+                                 .target = router});
+    }
     for (int n = 0; n < together; ++n) {
       auto trouble = draw(chance, plan, at + (roll(chance) < 0.5 ? 0 : roll(chance)));
       // Half of them meet at one router.
-      if (range_of(trouble.kind).at != At::server && roll(chance) < 0.5) trouble.target = router;
+      if (range_of(trouble.kind).at != At::server && trouble.target >= 0 && roll(chance) < 0.5)
+        trouble.target = router;
       plan.troubles.push_back(trouble);
     }
     at += roll(chance) < 0.15 ? longest_quiet * roll(chance) : 0.3 + 1.2 * roll(chance);
--- a/soak/process.cpp
+++ b/soak/process.cpp
@@ -80,6 +80,7 @@
 }
 
 void Process::terminate() {
+  if (phase_ == Phase::ending && asked_at_ > 0) ::kill(pid_, SIGTERM);  // asked for again
   if (phase_ != Phase::serving) return;
   go_on();
   asked_at_ = real_now(), phase_ = Phase::ending;
--- a/tests/hunt.cpp
+++ b/tests/hunt.cpp
@@ -16,10 +16,15 @@
 #include <string>
 #include <vector>
 
+#include "fleet/purges.h"
 #include "guard/guard.h"
 #include "net/caches.h"
+#include "net/config.h"
 #include "net/discovery_clock.h"
+#include "net/list.h"
+#include "platform.h"
 #include "routing/endpoint_order.h"
+#include "standins/bus.h"
 #include "standins/world.h"
 #include "store/store.h"
 
@@ -205,3 +210,46 @@
   CHECK(held == std::map<std::string, std::size_t>{{"first", 1}, {"second", 100'000}, {"third", 1}});
   std::filesystem::remove_all(folder);
 }
+
+TEST_CASE("given discovery on a slow line, then a whole list of 3,200 is followed over one watch") {
+  constexpr int kMembers = 3200;
+  constexpr std::size_t kPiece = 1200;
+  constexpr Sec kBetween = 0.05;  // 24,000 bytes a second: the list takes 3.6 s
+  Log log("hunt");
+  Scheduler scheduler;
+  Outbox outbox(scheduler, 64 << 20);
+  const Fd ear = listen_on(Address{0x7f000001, 0});
+  const Address address{0x7f000001, static_cast<std::uint16_t>(standins::port_of(ear.get()))};
+  const auto config = net::parse_config(config_text("n0", 1, address.port, "", "{}"));
+  fleet::Purges purges({}, scheduler.now());
+  net::Desk desk(scheduler, 7, config.settings, purges);
+  net::Caches caches(scheduler, outbox, log, 8, 32, 1, 60, true);
+  net::List list(scheduler, outbox, log, desk, caches);
+  std::string records;
+  for (int n = 0; n < kMembers; ++n)
+    records += standins::member_record(static_cast<std::uint64_t>(n), 9, standins::Says::ready, 1, 0);
+  const auto frame = standins::frame_text(1, 1, records);
+  int watches = 0;
+  const auto story = [&]() -> Task {
+    Event pause(scheduler);
+    list.follow(address);
+    Fd watch;
+    std::size_t told = 0;
+    const Sec began = scheduler.now();
+    while (caches.members() < kMembers && scheduler.now() < began + 9) {
+      if (Fd fd{::accept4(ear.get(), nullptr, nullptr, SOCK_NONBLOCK)})
+        watch = std::move(fd), told = 0, ++watches;
+      if (watch && told < frame.size()) {
+        const auto piece = std::min(kPiece, frame.size() - told);
+        if (::send(watch.get(), frame.data() + told, piece, MSG_NOSIGNAL) > 0) told += piece;
+      }
+      co_await pause.wait(scheduler.now() + kBetween);
+    }
+    scheduler.stop();
+  };
+  scheduler.start(story());
+  scheduler.run();
+  CHECK(caches.members() == kMembers);
+  CHECK(watches == 1);
+  scheduler.drop_tasks();
+}
