What waited is told over two turns; a slow line that moves on is followed; deadlines by the clock of the write

(1) lateness seen in one turn belongs to the edges of the next too, whatever ended the wait (Scheduler::wait_for_edges). (2) List::follow_all counted silence from the last whole frame, also while a large one moved on. (3) Caches::write took the deadline from the turn's clock, stale where the process stood still within the turn: 2 of 2,604 in one play of soak_stalls beside a build. Change: late() carries over one turn; 4,096 bytes of a frame count as a sign of life, a trickle does not; the write reads the clock. Ruled out: a longer time for every frame (a small one that stops midway is silence).

--- a/src/io/scheduler.cpp
+++ b/src/io/scheduler.cpp
@@ -52,7 +52,9 @@
 
 void Scheduler::drop_tasks() { std::exchange(tasks_, {}).clear(); }
 
-void Scheduler::read_clock() { now_ = seconds_of<std::chrono::steady_clock>() + unix_less_steady_; }
+Sec Scheduler::now_exactly() const { return seconds_of<std::chrono::steady_clock>() + unix_less_steady_; }
+
+void Scheduler::read_clock() { now_ = now_exactly(); }
 
 void Scheduler::start(Task task) {
   const auto handle = task.handle();
@@ -117,10 +119,10 @@
   const int got = ::epoll_pwait2(epoll_.get(), events, kAtOnce, until, nullptr);
   if (got < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_pwait2");
   read_clock();
-  // A stop interrupts the wait, which then tells of no edges: those of the next turn have waited as long.
+  // A stop ends the wait, with an interruption or with the edge of a signal, before the edges of what comes
+  // while the process stands still: those of the next turn have waited as long.
   const Sec late = waits_from - turn_began + std::max(0.0, now_ - std::max(first, waits_from));
-  late_ = std::exchange(interrupted_late_, 0) + late;
-  if (got < 0) interrupted_late_ = late_;
+  late_ = std::exchange(last_late_, late) + late;
   if (now_ >= turn_by_) turn_by_ = kNoTime, watch_refused_again();
   told_.clear();
   for (int n = 0; n < got; ++n) told_.push_back(static_cast<Watcher*>(events[n].data.ptr));
--- a/src/io/scheduler.h
+++ b/src/io/scheduler.h
@@ -76,6 +76,7 @@
   ~Scheduler();
 
   Sec now() const { return now_; }  // Unix time, read once a turn
+  Sec now_exactly() const;  // read now: where the turn may be long, or the process stood still within it
   // What is read in this turn may have waited so long for this thread: it was busy with the turn before, or
   // the process stood still.
   Sec late() const { return late_; }
@@ -116,7 +117,7 @@
   std::vector<std::function<void()>> ends_;
   std::vector<Watcher*> told_;    // this turn's; null: forgotten since
   std::vector<Refused> refused_;  // not watched yet: at most one for each open descriptor
-  Sec turn_by_ = kNoTime, late_ = 0, interrupted_late_ = 0;
+  Sec turn_by_ = kNoTime, late_ = 0, last_late_ = 0;
   OnFailure on_failure_;
 };
 
--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -268,7 +268,7 @@
   const Sec now = scheduler_.now();
   const auto& w = hop.what_;
   // Down to whole milliseconds: never longer than the txn has.
-  const auto limit = std::max(1L, static_cast<long>(std::floor((w.until - now) * 1e3)));
+  const auto limit = std::max(1L, static_cast<long>(std::floor((w.until - scheduler_.now_exactly()) * 1e3)));
   if (!may_write(hop, c, static_cast<Sec>(limit) / 1e3)) return hop.finish(Verdict::not_sent);
   hop.first_byte_ = c.stream.written();
   c.stream.write(words_text({"serve", w.id_text, w.fields + ",limit=" + std::to_string(limit), w.body}));
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -77,7 +77,9 @@
   // What breaks off counts as told 2 s later, what falls silent 4 s later: the pauses stay well under the
   // one, and one empty frame of each second that is missing, with a dial, under the other. The time runs from
   // the last whole frame, so that one that trickles or stops midway is silence too.
+  // A large frame on a slow line is none as long as it moves on; a small one has to come whole.
   constexpr Sec kSilence = 2.2, kDial = 0.5, kFirstPause = 0.05, kLongestPause = 0.4;
+  constexpr std::size_t kMovesOn = 4096;
   const auto hold_spare = [&] {
     if (!spare_) spare_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
   };
@@ -98,6 +100,7 @@
         why = in_time ? std::strerror(error) : "not up in time";
       } else {
         stream.write(hello_text(last_));
+        std::size_t moved_at = 0;  // so much of a frame was held when it last moved on
         for (Sec whole_at = scheduler_.now();;) {
           const auto came = stream.read();
           if (came == Stream::Came::end) break;
@@ -107,7 +110,9 @@
               why = "a frame that cannot be used";
               break;
             }
-            if (stream.in().size() < before) pause = kFirstPause, whole_at = scheduler_.now();
+            const auto held = stream.in().size();
+            if (held < before) pause = kFirstPause, moved_at = 0;
+            if (held < before || held >= moved_at + kMovesOn) whole_at = scheduler_.now(), moved_at = held;
             continue;
           }
           const bool told = co_await stream.readable(whole_at + kSilence);
