--- a/soak/oracle.h
+++ b/soak/oracle.h
@@ -47,7 +47,7 @@
   Sec drain_grace = 1;    // after a drain was told
   Sec purge_grace = 0.5;  // after a purge was told
   Sec warm_after = 8, cold_window = 1;
-  double cold_from = 0.25, cold_multiple = 2;
+  double cold_from = 0.1, cold_multiple = 2;
   double capacity = 60;  // attempts a second that a warm server bears
 };
 
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -111,6 +111,13 @@
   std::mt19937_64 chance(seed);
   std::uniform_real_distribution<> roll(0, 1);
   const double longest_quiet = seconds / 4;
+  // Some machines' clocks differ from discovery's from the beginning.
+  constexpr double kClocksDiffer = 0.4;
+  if (roll(chance) < kClocksDiffer)
+    plan.troubles.push_back({.kind = Kind::wall_step,
+                             .at = -1,
+                             .target = static_cast<int>(processes * roll(chance)),
+                             .size = 7200 * (roll(chance) - 0.5)});
   for (Sec at = 0.5 + roll(chance); at < seconds - kQuietEnd;) {
     // Each router sees several of these; at the same moment, or within a second of each other.
     const int together = 2 + static_cast<int>(3 * roll(chance)) + processes / 8;
