--- a/soak/discovery.cpp
+++ b/soak/discovery.cpp
@@ -42,7 +42,7 @@
   events_.push_back({.at = real_now(),
                      .kind = 2,
                      .payload = standins::member_record(
-                         static_cast<std::uint64_t>(0xb0 + e.number()), e.port(), state, zone_of(e),
+                         0xb0 + static_cast<std::uint64_t>(e.number()), e.port(), state, zone_of(e),
                          static_cast<int>(e.role()), static_cast<std::uint64_t>(e.started() * 1e3)),
                      .server = e.number(),
                      .state = state,
--- a/soak/link.cpp
+++ b/soak/link.cpp
@@ -19,7 +19,7 @@
     stream_.write(bytes);
 }
 
-void Link::trickle(std::string bytes, std::size_t piece, Sec between) {
+void Link::trickle(const std::string& bytes, std::size_t piece, Sec between) {
   if (scheduler_.now() < lost_until_) return;
   queued_ += bytes.size();
   pieces_ += bytes;
--- a/soak/link.h
+++ b/soak/link.h
@@ -17,7 +17,7 @@
 
   Stream& stream() { return stream_; }
   void write(std::string_view bytes);  // as the faults have it
-  void trickle(std::string bytes, std::size_t piece, Sec between);
+  void trickle(const std::string& bytes, std::size_t piece, Sec between);
   void lose_writes(Sec until) { lost_until_ = until; }
   void reset();                                     // the other side gets RST
   std::uint64_t queued() const { return queued_; }  // bytes given to be written so far
--- a/soak/process.cpp
+++ b/soak/process.cpp
@@ -56,6 +56,7 @@
   words.push_back("LD_PRELOAD=" + setup_.shim);
   words.push_back(fmt::format("{}={}/faults", kFaultControl, setup_.folder));
   std::vector<char*> env;
+  env.reserve(words.size() + 1);
   for (auto& w : words) env.push_back(w.data());
   env.push_back(nullptr);
   const char* args[] = {setup_.program.c_str(), nullptr};
