A client whose bytes are unread is not idle; lateness outlasts interrupted waits

Cause: make_room() and close_idle() asked only what had been read; after a stop of the process the listener's edge came first, and a crowd of callers pushed out clients whose requests lay in the kernel, which shut() then drops. Scheduler::late() was forgotten in a turn whose wait an interruption ended. Change: Stream::has_unread() is part of being idle in both places; lateness lasts until a wait told of edges. Ruled out: reading all clients before the listener (a full turn of reads for each caller).

--- a/src/io/scheduler.cpp
+++ b/src/io/scheduler.cpp
@@ -122,7 +122,8 @@
   // A stop ends the wait, with an interruption or with the edge of a signal, before the edges of what comes
   // while the process stands still: those of the next turn have waited as long.
   const Sec late = waits_from - turn_began + std::max(0.0, now_ - std::max(first, waits_from));
-  late_ = std::exchange(last_late_, late) + late;
+  late_ = last_late_ + late;
+  last_late_ = got < 0 ? late_ : late;  // an interrupted wait told of no edges at all
   if (now_ >= turn_by_) turn_by_ = kNoTime, watch_refused_again();
   told_.clear();
   for (int n = 0; n < got; ++n) told_.push_back(static_cast<Watcher*>(events[n].data.ptr));
--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -175,6 +175,12 @@
   return ::poll(&end, 1, 0) > 0;
 }
 
+bool Stream::has_unread() const {
+  if (in_from_ < in_.size()) return true;
+  char next = 0;
+  return !broken_ && ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void Stream::consume(std::size_t bytes) { in_from_ += bytes; }
 
 namespace {
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -80,6 +80,7 @@
   Came read();  // takes what the kernel holds, within a bound a call
   // The other side's end has come, whether read or not, also behind bytes that are unread.
   bool ended() const;
+  bool has_unread() const;  // bytes that came and were not read yet
   std::string_view in() const { return {in_.data() + in_from_, in_.size() - in_from_}; }
   void consume(std::size_t bytes);
   Event::Awaiter readable(Sec until = kNoTime) { return readable_.wait(until); }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -104,9 +104,10 @@
 }
 
 // With all places taken one comes to its end: those that said nothing first, then the longest quiet; one with
-// open txns stays. Guards against clients that ask once and stay, or connect by the hundred and say nothing.
-// While it ends its descriptor is one of a few beside the places; past those the longest of them goes at
-// once.
+// open requests stays, and one whose bytes nobody has read yet. Prevents two losses: of places to clients
+// that ask once and stay, or connect by the hundred and say nothing; and of requests that came while this
+// process stood still. While it ends its descriptor is one of a few beside the places; past those the longest
+// of them goes at once.
 bool Clients::make_room() {
   constexpr Sec kFresh = 0.2;  // one that just came may have its first request on the way
   const auto rank = [&](const Client& c) {
@@ -115,7 +116,7 @@
   Client *first = nullptr, *longest = nullptr;
   for (const auto& [client, held] : clients_) {
     if (client->phase_ == Client::Phase::open && client->idle() &&
-        (first == nullptr || rank(*client) < rank(*first)))
+        (first == nullptr || rank(*client) < rank(*first)) && !client->stream_.has_unread())
       first = client;
     if (client->phase_ == Client::Phase::shut && (longest == nullptr || client->until_ < longest->until_))
       longest = client;
@@ -335,7 +336,7 @@
 // A request that crosses the end of the answers is never read as one: its client sees that it was not taken.
 void Clients::close_idle() {
   for (const auto& [client, held] : clients_) {
-    if (!client->idle()) continue;
+    if (!client->idle() || client->stream_.has_unread()) continue;
     if (client->phase_ == Client::Phase::open) count(guard::ClientClose::program_ends);
     shut(*client);
   }
