--- a/soak/endpoint.cpp
+++ b/soak/endpoint.cpp
@@ -98,10 +98,11 @@
   Event pause(scheduler_);
   while (listener->open()) {
     if (active(Kind::server_late_accept) || active(Kind::server_vanishes)) {
-      not_accepting_at_ = scheduler_.now();
+      not_accepting_at_ = scheduler_.now(), queue_is_short_ = true;
       co_await pause.wait(scheduler_.now() + kPause);
       continue;
     }
+    if (std::exchange(queue_is_short_, false)) ::listen(listener->fd(), SOMAXCONN);
     Fd fd = listener->accept();
     if (!fd) {
       co_await listener->came.wait(scheduler_.now() + kPause);
--- a/soak/endpoint.h
+++ b/soak/endpoint.h
@@ -82,6 +82,7 @@
   std::shared_ptr<Listener> listener_;
   bool up_ = false;
   std::uint64_t starts_ = 0, accepted_ = 0;
+  bool queue_is_short_ = false;
   Sec not_accepting_at_ = 0;  // when it last left callers in its queue
   Sec started_ = 0;
   Endpoint* origin_ = nullptr;
