--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,11 +15,13 @@
 #include <set>
 #include <utility>
 
+#include "routing/concurrency_limit.h"
 #include "routing/endpoint_order.h"
+#include "routing/reference_counter.h"
 
 namespace walkpaddle {
 
-using routing::EndpointOrder;
+using routing::ConcurrencyLimit, routing::EndpointOrder, routing::ReferenceCounters;
 
 namespace {
 
@@ -32,87 +34,6 @@
   return object ^ (static_cast<std::uint64_t>(part) * 0x9e3779b97f4a7c15u);
 }
 
-// The design's reference counters, with what else is remembered of an object: who lately hit, and how many
-// of its txns ended without an answer and may come again.
-class Counts {
- public:
-  struct Entry {
-    std::uint64_t object = 0;
-    float count = 0, kbytes = 0;  // its size as last answered, 0 while untold
-    int sib = -1, owed = 0;
-    Sec sib_at = -kNever, owed_at = -kNever, used = -kNever;
-  };
-  // A set of four that is full gives up its lowest count, of equals the one longest unused.
-  Entry& at(std::uint64_t object, Sec now) {
-    auto* set = &table_[(object >> 20) % kSets * kWays];
-    auto* worst = set;
-    for (auto* e = set; e != set + kWays; ++e) {
-      if (e->object == object) return e->used = now, *e;
-      if (std::pair(e->count, e->used) < std::pair(worst->count, worst->used)) worst = e;
-    }
-    *worst = {.object = object, .used = now};
-    return *worst;
-  }
-  const std::vector<Entry>& all() const { return table_; }
-  void halve() {
-    for (auto& e : table_) e.count /= 2;
-  }
-
- private:
-  static constexpr std::size_t kSets = 1024, kWays = 4;  // minutes of objects at some tens of txns a second
-  std::vector<Entry> table_ = std::vector<Entry>(kSets * kWays);
-};
-
-// Mechanism 1. Guards against crowding of any cause: slots, links in and out, fill places. Grows by one with
-// each capful of answers in time, is cut by a share when too many come late or are turned away.
-struct Limit {
-  static constexpr double kTooMany = 0.15;  // late; sizes vary: a tenth looks late on a good day
-  double cap = 16, used = 0, late = 0, least = 4;
-  bool full = false;     // was so by half when the last hop ended: more would have been used
-  bool crowded = false;  // since it was cut or is cold: until then it may grow by one with each answer
-  Sec cut_at = -kNever, rests_until = 0, judged_at = 0;
-  // Each of many routers starts with its part of a small machine's work: three hops at least, or objects
-  // move. Cut, it comes down to its part of what one machine still does, under one hop where many share it.
-  void share(int routers, double floor = 1) {
-    cap = std::clamp(32.0 / routers, 1.5, cap);
-    least = std::clamp(8.0 / routers, floor, least);
-  }
-  // Under one the limit is a share of the time: after each use it rests. Guards against floors of one each
-  // that sum to many times what a source can do, where hundreds of routers share it.
-  bool room(double weight, Sec now) const { return used <= 0 ? now >= rests_until : used + weight <= cap; }
-  void hold(double weight, int sign, Sec took, Sec now) {
-    used += sign * weight;
-    if (used < 1e-6) used = 0;  // what rounding leaves is no hop
-    if (sign > 0) return;
-    constexpr Sec kMost = 20;  // some clients' patience
-    full = used + weight > cap / 2;
-    if (cap < 1) rests_until = now + std::min(kMost, (1 / cap - 1) * took);
-  }
-  // Lost answers alone cut nothing: a hop without one speaks of a crowd only where answers come late too.
-  void lost(Sec now) {
-    if (late > kTooMany / 3) answered(1, now);
-  }
-  // quick: no queue, by a known own time. Then a start finds its size in seconds; a guess would overshoot.
-  void answered(double lateness, Sec now, bool quick = false) {
-    // Of ten answers, or, where hundreds of routers see few each, of ten seconds; one alone is never the
-    // half.
-    constexpr double kLately = 0.1;
-    constexpr Sec kOver = 10;
-    late += (lateness - late) * std::clamp((now - judged_at) / kOver, kLately, 0.3);
-    judged_at = now;
-    if (late > kTooMany)
-      cut(now);
-    else if (lateness <= 0 && full)
-      cap += cap < 1 ? 0.1 : quick && !crowded ? 1 : 1 / cap;
-  }
-  void cut(Sec now) {
-    constexpr Sec kPause = 0.5;  // one cut for one crowding: about an answer's time
-    crowded = true;
-    if (now - cut_at < kPause) return;
-    cut_at = now, cap = std::max(least, cap * 0.8);
-  }
-};
-
 enum class Role { cache, par, origin };
 
 struct Member {
@@ -130,7 +51,7 @@
   int trial = 0, out = 0;
   Sec heard = -kNever, busy_since = 0;
   double gap = 0.1;
-  Limit hops, fills{.least = 1};
+  ConcurrencyLimit hops, fills{.least = 1};
   double spent = 0;
   Sec spent_at = 0;
 };
@@ -242,7 +163,7 @@
       }
     // Limits that were reached before: a minute halves what they count. Never of a cold member, nor where one
     // was cut since. Guards against a returner that turns away what it bore before it went.
-    const auto raise = [&](Limit& x, double cap) {
+    const auto raise = [&](ConcurrencyLimit& x, double cap) {
       if (!x.crowded) x.cap = std::max(x.cap, cap * std::exp2(-l.age / 60));
     };
     raise(link, l.link);
@@ -283,7 +204,7 @@
   Quiet par_misses{.mean = 0.5};  // share of fills from a parent that it fetches from the origin
   double mean_txn = 0.4;
 
-  Counts counts;
+  ReferenceCounters counts;
   std::vector<Member> members;
   EndpointOrder listed[3];    // by role: those a hop may go to
   int ready_here[3] = {};     // of these, the ready ones
@@ -291,10 +212,10 @@
   std::vector<int> changed;   // members that it has named so far
   std::vector<int> starting;  // members that may be cold
   std::vector<Txn> txns;
-  Limit link{.cap = 8, .least = 1.5};  // this router's fills over the location's link in
-  std::set<std::pair<Sec, int>> due;   // txns that wait for a time
-  std::vector<int> waiting;            // txns that wait for room
-  std::vector<int> ready;              // txns that want a decision
+  ConcurrencyLimit link{.cap = 8, .least = 1.5};  // this router's fills over the location's link in
+  std::set<std::pair<Sec, int>> due;              // txns that wait for a time
+  std::vector<int> waiting;                       // txns that wait for room
+  std::vector<int> ready;                         // txns that want a decision
   std::vector<Decision> said;
   std::size_t said_from = 0;
 
@@ -839,7 +760,7 @@
       // parts to come: else one of ten big objects looks late on a quiet link, and limits stay at their
       // floors.
       if (!t.sized && sending <= 0 && !r.uncacheable && (x.busy >= 0 ? x.busy < 0.7 : x.hops.used < 3) &&
-          (was_hit || (waited > 0 && link.late < Limit::kTooMany / 2))) {
+          (was_hit || (waited > 0 && link.late < ConcurrencyLimit::kTooMany / 2))) {
         auto& known = counts.at(t.object, now).kbytes;
         const float kb = (took - waited) * filling.pace;
         known = known > 0 ? std::min(known, kb) : kb;
