Failing accepts pause 0.02 s, and only for our own want; what waited in the queue has its time taken off

Cause: accept_all paused 0.1 s at every error, also at those of a caller's own connection, and a request that came with a connection which waited meanwhile was given its whole limit. Change: errors of the caller's connection (accept(2)) are passed over, a want of descriptors or memory pauses 0.02 s as dials do, and a client taken after failures has its first requests counted from when the queue last was empty.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -37,6 +37,14 @@
 // For what is owed to one that does not read, once its txns are over.
 constexpr Sec kUnread = 2;
 
+// An error of the caller's connection, which is gone with it: the next one is taken (accept(2), "Error
+// handling").
+bool is_callers_error(int error) {
+  constexpr int kErrors[] = {ECONNABORTED, EPROTO,       ENETDOWN,   ENOPROTOOPT, EHOSTDOWN,
+                             ENONET,       EHOSTUNREACH, EOPNOTSUPP, ENETUNREACH};
+  return std::ranges::find(kErrors, error) != std::end(kErrors);
+}
+
 }  // namespace
 
 OpenId::OpenId(Ids& ids, std::uint64_t id) : id_(id) {
@@ -75,7 +83,7 @@
 }
 
 Task Clients::accept_all() {
-  constexpr Sec kPause = 0.1;  // without descriptors left: until some connections may have closed
+  constexpr Sec kPause = 0.02;  // without descriptors or memory: until some connections may have closed
   constexpr int kKernelHolds =
       256 * 1024;  // one of the largest answers; by itself it would grow to megabytes
   while (listener_.open()) {
@@ -87,18 +95,22 @@
       }
       ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &kKernelHolds, sizeof kKernelHolds);
       auto client = std::make_shared<Client>(scheduler_, outbox_, std::move(fd));
+      client->waited_ = std::max(0.0, scheduler_.now() - queue_since_);
       clients_[client.get()] = client;
       scheduler_.start_isolated(connection(std::move(client)));
       continue;
     }
     const int why = errno;
-    if (why == EINTR || why == ECONNABORTED) continue;
+    // What else accept(2) tells of is an error of the caller's connection, which is gone: the next is taken.
+    if (why != EAGAIN && !is_own_want(why)) continue;
     if (why != EAGAIN) {
+      queue_since_ = std::min(queue_since_, scheduler_.now());
       log_("accept", "{}, {} clients connected", std::strerror(why), clients_.size());
       if (why == EMFILE || why == ENFILE) make_room();
       co_await listener_.came.wait(scheduler_.now() + kPause);
       continue;
     }
+    queue_since_ = kNoTime;
     co_await listener_.came.wait();
   }
 }
@@ -177,6 +189,7 @@
     const auto came = stream.read();
     if (came == Stream::Came::end) break;
     if (came == Stream::Came::bytes) take_requests(client);
+    if (came == Stream::Came::nothing) client->waited_ = 0;  // what had waited with its connection is read
     serve_held(client);
     if (client->phase_ != Client::Phase::open && over(*client)) break;
     if (came == Stream::Came::bytes) {
@@ -269,7 +282,7 @@
   if (client->open_.size() + client->held_.size() >= kMostOpen) bad("number of open requests", tag);
   Order order;
   try {
-    order = order_of(words);
+    order = order_of(words, std::max(scheduler_.late(), client->waited_));
   } catch (const Malformed& e) {
     log_("request", "{}", e.what());
     return client->answer(tag, "ABORTED");
@@ -279,7 +292,7 @@
   serve_held(client);
 }
 
-Order Clients::order_of(const std::vector<std::string_view>& words) {
+Order Clients::order_of(const std::vector<std::string_view>& words, Sec waited) {
   constexpr int kLongestLimit = 3'600'000, kMostParts = 1'000'000;  // far past any object's or client's
   constexpr std::size_t kLargestBody = 48'000;                      // a write
   if (words.size() < 4 || words.size() > 5) bad("number of words", std::to_string(words.size()));
@@ -299,7 +312,7 @@
   o.id_text = needed("txn");
   o.id = hex16(o.id_text, "txn");
   // The client's time runs since it sent the request, which may have waited for us.
-  o.expires = scheduler_.now() - scheduler_.late() + whole(needed("limit"), "limit", 1, kLongestLimit) / 1e3;
+  o.expires = scheduler_.now() - waited + whole(needed("limit"), "limit", 1, kLongestLimit) / 1e3;
   o.object_text = needed("item");
   hex16(o.object_text, "item");
   o.part_text = needed("seg");
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -80,6 +80,7 @@
   Phase phase_ = Phase::open;
   Sec until_ = 0;                // of ending or shut: closed then
   bool slow_reader_ = false;     // closed as such
+  Sec waited_ = 0;               // in the listener's queue at most, with what it wrote meanwhile
   Sec last_ = 0, answered_ = 0;  // when it connected or last spoke; when it was last answered
 };
 
@@ -113,7 +114,7 @@
   void take_requests(const std::shared_ptr<Client>& client);
   void serve_held(const std::shared_ptr<Client>& client);
   void request(const std::shared_ptr<Client>& client, const std::vector<std::string_view>& words);
-  Order order_of(const std::vector<std::string_view>& words);
+  Order order_of(const std::vector<std::string_view>& words, Sec waited);
 
   Scheduler& scheduler_;
   Outbox& outbox_;
@@ -124,8 +125,9 @@
   guard::Guard* guard_ = nullptr;  // null: no counts, no checks
   Serve serve_;
   std::string alive_;
-  std::size_t leaving_ = 0;  // of those connected, shut
-  bool ended_ = false;       // nothing that comes is sent on any more
+  std::size_t leaving_ = 0;    // of those connected, shut
+  Sec queue_since_ = kNoTime;  // callers wait in the listener's queue since then, as accepts fail
+  bool ended_ = false;         // nothing that comes is sent on any more
   Listener listener_;
   std::unordered_map<Client*, std::weak_ptr<Client>> clients_;
 };
