--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -101,8 +101,7 @@
       continue;
     }
     const int why = errno;
-    // What else accept(2) tells of is an error of the caller's connection, which is gone: the next is taken.
-    if (why != EAGAIN && !is_own_want(why)) continue;
+    if (why == EINTR || is_callers_error(why)) continue;
     if (why != EAGAIN) {
       queue_since_ = std::min(queue_since_, scheduler_.now());
       log_("accept", "{}, {} clients connected", std::strerror(why), clients_.size());
