--- a/tests/hunt.cpp
+++ b/tests/hunt.cpp
@@ -253,3 +253,39 @@
   CHECK(watches == 1);
   scheduler.drop_tasks();
 }
+
+TEST_CASE(
+    "given an attempt called off with nothing heard, then its connection ends, and the server gives it up") {
+  Log log("hunt");
+  Scheduler scheduler;
+  Outbox outbox(scheduler, 64 << 20);
+  const Fd ear = listen_on(Address{0x7f000001, 0});
+  net::Caches caches(scheduler, outbox, log, 8, 32, 5, 60, true);
+  const int server = caches.member("s-1");
+  caches.told(server, {0x7f000001, static_cast<std::uint16_t>(standins::port_of(ear.get()))}, Listed::ready);
+  const std::string id = "00000000000000a0";
+  bool ended = false;
+  const auto story = [&]() -> Task {
+    Event pause(scheduler);
+    net::Hop attempt(
+        scheduler, caches,
+        net::Hop::What{server, server, 0xa0, id, "", "cls=page", scheduler.now() + 30, kNoTime, true, true});
+    co_await pause.wait(scheduler.now() + 0.2);
+    const Fd accepted(::accept4(ear.get(), nullptr, nullptr, SOCK_NONBLOCK));
+    attempt.call_off();
+    while (!attempt.ended()) {
+      const bool told = co_await attempt.wait();
+      if (!told) attempt.time_came();
+    }
+    co_await pause.wait(scheduler.now() + 0.1);
+    char room[4096];
+    ssize_t got = 0;
+    while ((got = ::recv(accepted.get(), room, sizeof room, 0)) > 0) continue;
+    ended = got == 0;
+    scheduler.stop();
+  };
+  scheduler.start(story());
+  scheduler.run();
+  CHECK(ended);
+  scheduler.drop_tasks();
+}
