What is called off with nothing heard ends its connection, also one that had just come up

(2) Older: coming up counted as hearing, so that an attempt written at that moment never made its connection silent. Change: only an attempt that ends with its client's time, after which none follows, may leave a silent connection open; coming up is no word. Ruled out: the take-back of unsent bytes (the server had the first copy whole).

--- a/src/net/caches.cpp
+++ b/src/net/caches.cpp
@@ -135,8 +135,11 @@
   // Only where an answer had to come by now: a server may drop a request with little time left without a
   // word.
   constexpr double kWellPast = 4;
-  const bool due = scheduler_.now() - written_at_ > kWellPast * caches_.peer(what_.member).usual;
-  if (state_ == State::written && due && over_->heard < written_at_) over_->silent = true;
+  // One that is called off may be repeated, so its connection ends in any case: a cancel alone may not arrive
+  // there.
+  const bool due = verdict != Verdict::timed_out || !what_.last ||
+                   scheduler_.now() - written_at_ > kWellPast * caches_.peer(what_.member).usual;
+  if (state_ == State::written && due && over_->heard <= written_at_) over_->silent = true;
   if (caches_.take_back(*this)) return drop();
   if (verdict == Verdict::timed_out && what_.last) {
     caches_.give_up(*this);
