Review, case 2: a request that is written slowly is read and dropped without an answer

Cause: close_as_late ends a connection for a message over 2 s old although answers are unsent; in phase ending whole requests are read and dropped, and the close comes later.

--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -19,6 +19,11 @@
   int drain_grace_ms = 500;
   bool direct = true;
   bool cancel = true;
+  bool second_copies = false;
+  std::string report = R"({"names":["util","x0"],"source":"answers"})";
+  std::string notes = "all";
+  std::string siblings = "location";
+  std::string weights = "none";
 };
 
 inline std::string config_json(const Deployment& d, const std::string& name, int port, int bus,
@@ -44,24 +49,28 @@
          known + "]}}]},\"settings\":{\"allowed\":{\"cancel\":" + flag(d.cancel) +
          ",\"dial_timeout\":400,\"idle_close\":15000,\"max_attempts\":8,\"max_retry_after\":500,\"may_tell\":"
          "true,"
-         "\"probes\":true,\"retry_after\":true,\"second_copies\":false,\"streams_per_conn\":32},"
+         "\"probes\":true,\"retry_after\":true,\"second_copies\":" +
+         flag(d.second_copies) +
+         ",\"streams_per_conn\":32},"
          "\"categories\":[" +
          d.classes + "],\"client_habits\":{\"marks_retry\":false},\"failure_domains\":" + list(d.zones) +
          ",\"family\":\"" + d.family + "\",\"fleet_size\":" + std::to_string(d.routers) +
          ",\"locality\":0,\"models\":" + list(d.kinds) +
-         ",\"registry_mode\":\"push\",\"report\":{\"names\":[\"util\",\"x0\"],\"source\":\"answers\"},"
-         "\"rules\":{"
+         ",\"registry_mode\":\"push\",\"report\":" + d.report +
+         ",\"rules\":{"
          "\"ask_within\":10000,\"cold_from\":0.2,\"drain_grace\":" +
          std::to_string(d.drain_grace_ms) +
          ",\"fall_multiple\":4,\"grace_to_answer\":8,\"overload_for\":1000,\"warm_after\":13000},"
          "\"specifics\":{" +
          d.by_class + ",\"client_kb_per_s\":4000,\"direct\":" + flag(d.direct) +
-         ",\"merges_fills\":true,\"notes_given\":\"all\",\"notice_time\":300,\"origin_kind\":2,\"parent_"
+         ",\"merges_fills\":true,\"notes_given\":\"" + d.notes +
+         "\",\"notice_time\":300,\"origin_kind\":2,\"parent_"
          "warms_in\":20000,"
-         "\"peers_fill\":\"location\",\"purge_settles\":6000,\"seats_by_zone\":[" +
-         seats +
+         "\"peers_fill\":\"" +
+         d.siblings + "\",\"purge_settles\":6000,\"seats_by_zone\":[" + seats +
          "],\"second_tier_kind\":1,\"upper_cold_from\":0.1,\"upper_fall_multiple\":2},\"tick\":2,\"weights\":"
-         "\"none\"}}";
+         "\"" +
+         d.weights + "\"}}";
 }
 
 // The section `fleet` of the operator's file of router `n`, with further `options`.
@@ -103,4 +112,22 @@
   return d;
 }
 
+// As at roda-branch-net: nothing tells the load, a second copy may be sent, large objects.
+inline Deployment roda_branch_net() {
+  Deployment d;
+  d.family = "roda-branch-net";
+  d.zones = {"north", "south", "east"};
+  d.classes =
+      R"({"name":"media-get","aim":600,"aim_stretch":1.6,"deadline":5000,"effect":"free","gain":2,"group":"all","window":5000},)"
+      R"({"name":"sale-post","aim":700,"deadline":3000,"effect":"guarded","gain":3,"group":"all","window":6000})";
+  d.by_class = R"("class_fresh":[0,0],"class_grace":[0,0],"in_parts":[true,false],"pass_on":[false,true])";
+  d.drain_grace_ms = 2000;
+  d.second_copies = true;
+  d.report = R"({"names":[],"source":"none"})";
+  d.notes = "none";
+  d.siblings = "none";
+  d.weights = "rough";
+  return d;
+}
+
 }  // namespace review
