Review, case 1: clients that ask for many large objects at once lose their requests

Cause: ClientConnection::answer closes a connection with all its open requests once a quarter of the memory is unsent; nothing holds answers, reading or new requests back before that.

--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -17,6 +17,7 @@
   int routers = 1;
   int routers_in_zone = 1;  // in zone 0, where the routers stand
   int drain_grace_ms = 500;
+  int memory_mb = 192;
   bool direct = true;
   bool cancel = true;
   bool second_copies = false;
@@ -40,7 +41,9 @@
     seats += zone == 1 ? "," + std::to_string(d.routers - d.routers_in_zone) : ",0";
   const auto flag = [](bool value) { return std::string(value ? "true" : "false"); };
   return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + std::to_string(port) +
-         "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+         "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" +
+         std::to_string(d.memory_mb) +
+         ",\"sockets\":1024},"
          "\"bus\":\"127.0.0.1:" +
          std::to_string(bus) +
          "\",\"flow_bytes_per_s\":4000000,\"link_bytes_per_s\":40000000,\"known\":{\"offset\":1,\"batch\":[{"
