--- a/review/common/stand_in.h
+++ b/review/common/stand_in.h
@@ -563,6 +563,14 @@
 
 inline void write_file(const std::string& path, const std::string& text) { std::ofstream(path) << text; }
 
+// To be called first: the run ends with the script that started it, and after 115 s at the latest. The
+// routers end with the run (Router::start).
+inline void begin_run() {
+  ::signal(SIGPIPE, SIG_IGN);
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  ::alarm(115);
+}
+
 // Whether the run is to include its disruption.
 inline bool trouble() {
   const char* const value = std::getenv("TROUBLE");
