Clients that read lose no request: buffers are bounded by flow control, not by closing

Cause: ClientConnection::answer closed a connection with over 256 KB unsent while all output exceeded a quarter of the memory. Nothing held the answers back: all requests started at once, endpoints were read without a bound, bytes being received were not counted. Change: BufferBudget counts all streams' bytes and grants the rest of an answer before it is read; OutputAdmission starts a client's requests as it reads, within a share of the free memory, and rejects at once those whose answers would come too late; only clients that have read nothing for 2 s are closed, while others wait. The wait here blames no endpoint.

--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -122,7 +122,8 @@
 
 Stream::~Stream() {
   outbox_.remove(*this);
-  outbox_.adjust_unsent(0, unsent());
+  outbox_.budget().remove_output(unsent());
+  outbox_.budget().remove(in().size());
   scheduler_.unwatch(fd_.get(), *this);
 }
 
@@ -138,35 +139,47 @@
 
 // An edge-triggered event is reported once, so an interrupted call is repeated at once: there may be no other
 // event for these bytes.
-ssize_t receive(int fd, std::vector<char>& buffer) {
+ssize_t receive(int fd, char* buffer, std::size_t size) {
   ssize_t got = 0;
   do {
-    got = ::recv(fd, buffer.data(), buffer.size(), 0);
+    got = ::recv(fd, buffer, size, 0);
   } while (got < 0 && errno == EINTR);
   return got;
 }
 
 }  // namespace
 
-Stream::ReadResult Stream::read() {
+Stream::ReadResult Stream::read(std::size_t max_bytes) {
   if (broken_) return ReadResult::end;
   auto& buffer = outbox_.read_buffer();
   if (in_from_ == in_.size()) {
-    in_.clear(), in_from_ = 0;
-    if (in_.capacity() > 4 * buffer.size()) in_.shrink_to_fit();  // it had grown for a large message
+    in_.clear();
+    in_from_ = 0;
+    if (in_.capacity() > buffer.size()) in_.shrink_to_fit();  // it had grown for a large message
   } else if (in_from_ > buffer.size()) {
     in_.erase(0, std::exchange(in_from_, 0));
   }
-  const auto got = receive(fd_.get(), buffer);
+  const auto got = receive(fd_.get(), buffer.data(), std::min(buffer.size(), max_bytes));
   const int error_number = errno;
-  if (got > 0) in_.append(buffer.data(), static_cast<std::size_t>(got));
-  if (got > 0) return ReadResult::bytes;
+  if (got > 0) {
+    in_.append(buffer.data(), static_cast<std::size_t>(got));
+    outbox_.budget().add(static_cast<std::size_t>(got));
+    return ReadResult::bytes;
+  }
   if (got < 0 && error_number == EAGAIN) return ReadResult::nothing;
-  if (got < 0 && is_memory_error(error_number)) return outbox_.retry_later(*this), ReadResult::nothing;
+  if (got < 0 && is_memory_error(error_number)) {
+    outbox_.retry_later(*this);
+    return ReadResult::nothing;
+  }
   broken_ = got < 0;
   return ReadResult::end;
 }
 
+void Stream::expect(std::size_t message_bytes) {
+  in_.erase(0, std::exchange(in_from_, 0));
+  in_.reserve(message_bytes);
+}
+
 bool Stream::ended() const {
   if (broken_ || unwritable_) return true;
   char next = 0;
@@ -182,7 +195,10 @@
   return !broken_ && ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-void Stream::consume(std::size_t bytes) { in_from_ += bytes; }
+void Stream::consume(std::size_t bytes) {
+  in_from_ += bytes;
+  outbox_.budget().remove(bytes);
+}
 
 namespace {
 
@@ -229,28 +245,36 @@
 
 void Stream::write(std::string_view bytes) {
   if (broken_ || unwritable_) return;
-  out_ += bytes;
+  if (unsent() == 0) progress_at_ = scheduler_.now();
+  out_.append(bytes);
   written_ += bytes.size();
-  outbox_.adjust_unsent(bytes.size(), 0);
+  outbox_.budget().add_output(bytes.size());
   if (!std::exchange(queued_, true)) outbox_.add(*this);
 }
 
 bool Stream::remove_unsent(std::uint64_t from, std::uint64_t to) {
   if (broken_ || from < flushed_) return false;
-  out_.erase(out_from_ + (from - flushed_), to - from);
+  out_.erase(from - flushed_, to - flushed_);
   written_ -= to - from;
-  outbox_.adjust_unsent(0, to - from);
+  outbox_.budget().remove_output(to - from);
   return true;
 }
 
+void Stream::output_accepted(std::size_t bytes) {
+  out_.consume(bytes);
+  flushed_ += bytes;
+  progress_at_ = scheduler_.now();
+  outbox_.budget().remove_output(bytes);
+  if (bytes > 0 && std::exchange(wake_on_output_, false)) readable_.set();
+}
+
 void Stream::flush() {
   queued_ = false;
-  while (!blocked_ && !broken_ && !unwritable_ && out_from_ < out_.size()) {
-    const auto sent = ::send(fd_.get(), out_.data() + out_from_, out_.size() - out_from_, MSG_NOSIGNAL);
+  while (!blocked_ && !broken_ && !unwritable_ && out_.size() > 0) {
+    const auto front = out_.front();
+    const auto sent = ::send(fd_.get(), front.data(), front.size(), MSG_NOSIGNAL);
     if (sent >= 0) {
-      out_from_ += static_cast<std::size_t>(sent);
-      flushed_ += static_cast<std::size_t>(sent);
-      outbox_.adjust_unsent(0, static_cast<std::size_t>(sent));
+      output_accepted(static_cast<std::size_t>(sent));
     } else if (errno == EAGAIN) {
       blocked_ = true;
     } else if (is_memory_error(errno)) {
@@ -262,16 +286,24 @@
       writable_.set();
     }
   }
-  // Capacity that an idle connection may keep, and the step in which sent bytes are removed from the buffer.
-  constexpr std::size_t kKeptBytes = 64 * 1024;
-  if (out_from_ == out_.size()) {
-    out_.clear(), out_from_ = 0;
-    if (out_.capacity() > kKeptBytes) out_.shrink_to_fit();
-  } else if (out_from_ > kKeptBytes) {
-    out_.erase(0, std::exchange(out_from_, 0));
+  if (out_.size() == 0) {
+    backlog_since_ = kNoTime;
+  } else if (blocked_ && backlog_since_ >= kNoTime) {
+    backlog_since_ = scheduler_.now();
+    flushed_at_backlog_ = flushed_;
   }
 }
 
+void Stream::retry_flush() {
+  blocked_ = false;
+  flush();
+}
+
+Stream::BacklogProgress Stream::backlog() const {
+  if (backlog_since_ >= kNoTime) return {};
+  return {scheduler_.now() - backlog_since_, static_cast<std::size_t>(flushed_ - flushed_at_backlog_)};
+}
+
 void Stream::shutdown_write() { ::shutdown(fd_.get(), SHUT_WR); }
 
 void Stream::close() {
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -8,7 +8,9 @@
 #include <string_view>
 #include <vector>
 
+#include "io/buffer_budget.h"
 #include "io/fd.h"
+#include "io/output_buffer.h"
 #include "io/scheduler.h"
 
 namespace walkpaddle {
@@ -43,20 +45,17 @@
 class Stream;
 
 /// State shared by all streams of a scheduler: the streams with output to send at the end of the turn, the
-/// total of unsent output, and the buffer that they read into. `scheduler` must outlive it, and it must
-/// outlive its streams.
+/// memory that their buffers may take, and the buffer that they read into. `scheduler` must outlive it, and
+/// it must outlive its streams.
 class Outbox {
  public:
-  /// `max_unsent`: unsent bytes of all streams together above which full() is true and connections whose
-  /// clients read slowly are closed.
-  Outbox(Scheduler& scheduler, std::size_t max_unsent)
-      : scheduler_(scheduler), max_unsent_(max_unsent), read_buffer_(kReadBufferBytes) {
+  /// `max_buffered`: bytes that all streams together may hold (BufferBudget).
+  Outbox(Scheduler& scheduler, std::size_t max_buffered)
+      : scheduler_(scheduler), budget_(scheduler, max_buffered), read_buffer_(kReadBufferBytes) {
     scheduler.call_at_turn_end([this] { flush(); });
   }
-  /// Adjusts the total of unsent bytes: `added` were written, `removed` were sent or discarded.
-  void adjust_unsent(std::size_t added, std::size_t removed) { unsent_ += added - removed; }
-  /// Whether more than `max_unsent` bytes wait to be sent.
-  bool full() const { return unsent_ > max_unsent_; }
+  /// The memory for the buffers of all streams.
+  BufferBudget& budget() { return budget_; }
   /// Has the stream flushed at the end of the turn.
   void add(Stream& stream) { streams_.push_back(&stream); }
   /// Removes a stream that is being destroyed.
@@ -74,8 +73,7 @@
   static constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
   static constexpr Seconds kRetryInterval = 0.005;
   Scheduler& scheduler_;
-  const std::size_t max_unsent_;
-  std::size_t unsent_ = 0;
+  BufferBudget budget_;
   std::vector<Stream*> streams_;  // to be flushed; null: destroyed since
   std::vector<Stream*> retries_;  // to be retried at retry_at_
   Seconds retry_at_ = kNoTime;
@@ -95,9 +93,11 @@
 
   /// What a read found: bytes, nothing yet, or the end of the connection.
   enum class ReadResult { bytes, nothing, end };
-  /// Appends what the kernel has received to in(), at most one read buffer per call. `end` if the peer has
-  /// closed its side or the connection is broken.
-  ReadResult read();
+  /// Appends what the kernel has received to in(), at most one read buffer or `max_bytes` per call. `end` if
+  /// the peer has closed its side or the connection is broken.
+  ReadResult read(std::size_t max_bytes = kNoLimit);
+  /// Makes room for a message of this size at the front of in(), so that the buffer need not grow.
+  void expect(std::size_t message_bytes);
   /// Whether the peer has closed its side, even if bytes from before are still unread.
   bool ended() const;
   /// Whether bytes were received that have not been consumed, here or in the kernel.
@@ -119,6 +119,17 @@
   std::uint64_t flushed() const { return flushed_; }  ///< of these, bytes that the kernel accepted
   /// Bytes that were written and that the kernel has not accepted yet.
   std::size_t unsent() const { return written_ - flushed_; }
+  /// Tries to pass on output that the kernel has refused so far, without waiting until it reports room.
+  void retry_flush();
+  /// Since when the kernel has accepted nothing although bytes are unsent; kNoTime: nothing is unsent.
+  Seconds stalled_since() const { return unsent() > 0 ? progress_at_ : kNoTime; }
+  /// What the peer has taken of a backlog of output.
+  struct BacklogProgress {
+    Seconds duration = 0;   ///< since when the kernel has not accepted all output; 0: it has
+    std::size_t bytes = 0;  ///< bytes that it has accepted in this time
+  };
+  /// The progress of the present backlog.
+  BacklogProgress backlog() const;
   /// Removes bytes that were written but not sent: those from position `from` up to `to`, as counted by
   /// written(). Returns false and removes nothing if some of them were passed to the kernel or the stream is
   /// broken.
@@ -127,6 +138,8 @@
   void flush();
   /// Shuts down the sending side of the connection.
   void shutdown_write();
+  /// Wakes the task that waits in readable() once, when the kernel next accepts output.
+  void wake_on_output() { wake_on_output_ = true; }
   /// Wakes the task that waits in readable().
   void wake() { readable_.set(); }
   /// Marks the stream as broken, as if the peer had closed it: waiting tasks wake and read() returns `end`.
@@ -138,16 +151,23 @@
   bool can_write() const { return !broken_ && !unwritable_; }
 
  private:
+  static constexpr std::size_t kNoLimit = static_cast<std::size_t>(-1);
   void on_ready(std::uint32_t epoll_events) override;
+  void output_accepted(std::size_t bytes);
 
   Scheduler& scheduler_;
   Outbox& outbox_;
   Fd fd_;
   Event readable_, writable_;
-  std::string in_, out_;
-  std::size_t in_from_ = 0, out_from_ = 0;
+  std::string in_;
+  std::size_t in_from_ = 0;
+  OutputBuffer out_;
   std::uint64_t written_ = 0, flushed_ = 0;
+  Seconds progress_at_ = 0;               // when the kernel last accepted output, or the first was written
+  Seconds backlog_since_ = kNoTime;       // since when bytes have been unsent that the kernel refused
+  std::uint64_t flushed_at_backlog_ = 0;  // flushed_ at that time
   bool queued_ = false, blocked_ = false, broken_ = false;
+  bool wake_on_output_ = false;
   bool unwritable_ = false;  // sending failed; what the peer sent may still be read
 };
 
--- a/src/net/attempt.cpp
+++ b/src/net/attempt.cpp
@@ -79,12 +79,25 @@
   return state_ == State::written && connection_->stream().flushed() <= first_byte_;
 }
 
+Seconds Attempt::memory_wait() const {
+  return state_ == State::written ? connection_->memory_wait() - memory_wait_before_ : 0;
+}
+
+bool Attempt::awaits_memory() const { return state_ == State::written && connection_->awaits_memory(); }
+
+// The time in which the answer is not read on does not count against the endpoint, but against the request.
+Seconds Attempt::timeout_at() const {
+  return std::min(std::max(spec_.timeout_at, spec_.deadline), spec_.timeout_at + memory_wait());
+}
+
 Seconds Attempt::next_deadline() const {
+  constexpr Seconds kMemoryPollInterval = 0.05;
   if (state_ == State::cancelling) return cancel_settled_at_;
   if (is_unsent()) return std::min(spec_.timeout_at, written_at_ + kMaxUnsentTime);
+  if (awaits_memory()) return std::max(timeout_at(), scheduler_.now() + kMemoryPollInterval);
   if (state_ == State::queued)
     return std::min({spec_.timeout_at, spec_.start_by, started_at_ + pool_.settings_.dial_timeout});
-  return spec_.timeout_at;
+  return timeout_at();
 }
 
 void Attempt::on_timer() {
@@ -102,7 +115,7 @@
     connection_->mark_unresponsive();  // keeps new attempts from queueing behind this one
     return abandon();
   }
-  if ((state_ == State::queued || state_ == State::written) && now >= spec_.timeout_at)
+  if ((state_ == State::queued || state_ == State::written) && now >= timeout_at())
     cancel_as(AttemptOutcome::timed_out);
 }
 
@@ -116,7 +129,9 @@
 
 // ---- Ending. -------------------------------------------------------------------------------------------
 
-void Attempt::cancel() { cancel_as(AttemptOutcome::cancelled); }
+void Attempt::cancel() {
+  if (!awaits_memory()) cancel_as(AttemptOutcome::cancelled);
+}
 
 void Attempt::abandon() {
   if (ended()) return;
@@ -143,10 +158,13 @@
 // from being taken for the second's.
 void Attempt::cancel_as(AttemptOutcome outcome) {
   if (ended() || state_ == State::cancelling) return;
-  if (state_ == State::written && answer_was_due(outcome) && connection_->last_received_at() <= written_at_)
+  const bool awaited_memory = memory_wait() > 0;
+  if (awaited_memory) outcome = AttemptOutcome::cancelled;  // the answer may be here, unread
+  if (state_ == State::written && !awaited_memory && answer_was_due(outcome) &&
+      connection_->last_received_at() <= written_at_)
     connection_->mark_unresponsive();
   if (withdraw()) return abandon();
-  if (outcome == AttemptOutcome::timed_out && spec_.is_final) {
+  if (scheduler_.now() >= (spec_.is_final ? spec_.timeout_at : spec_.deadline)) {
     release();
     return finish(outcome);
   }
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "guard/guard.h"
+#include "io/buffer_budget.h"
 #include "io/scheduler.h"
 #include "net/resp_parser.h"
 #include "routing/types.h"
@@ -33,6 +34,8 @@
   Seconds age = -1;                                   ///< age of the copy; -1 if not reported
   std::vector<std::uint64_t> tags;                    ///< stable hashes of the copy's tags
   bool tags_reported = false;                         ///< the answer has a list of tags, possibly empty
+  BufferBudget::Lease body_memory;                    ///< counts the body
+  Seconds memory_wait = 0;  ///< time in which the answer was not read on, for want of memory here
 };
 
 /// One attempt. It waits in its endpoint's queue until a connection has capacity, is written to that
@@ -61,6 +64,7 @@
     bool has_effect = false;     ///< the request is not idempotent
     guard::RequestRecord* record = nullptr;  ///< the guard's record of the request; null: no checks
     Seconds copies_valid_since = 0;  ///< purge bound at the time of the decision: older copies are stale
+    Seconds deadline = kNoTime;  ///< end of the request, which `timeout_at` precedes if a retry may follow
   };
   /// Queues the attempt, and writes it at once if a connection has capacity.
   Attempt(Scheduler& scheduler, UpstreamPool& pool, Spec spec);
@@ -75,13 +79,16 @@
   Event::Awaiter wait() { return event_.wait(next_deadline()); }
   /// Handles the deadline of wait().
   void on_timer();
-  /// Cancels the attempt at the endpoint. It ends once no answer can be in transit any more.
+  /// Cancels the attempt at the endpoint. It ends once no answer can be in transit any more. Without effect
+  /// while its answer waits for memory of this router: another attempt would wait for it too.
   void cancel();
   /// Ends the attempt at once, and cancels it at the endpoint if any byte of it was sent; in that case no
   /// other attempt of the request may follow.
   void abandon();
   /// Like abandon(), but only if no byte of the attempt was sent; otherwise it goes on.
   void abandon_if_unsent();
+  /// Whether its answer waits for memory of this router.
+  bool awaits_memory() const;
   /// The outcome and the answer, complete once ended().
   AttemptResult& result() { return result_; }
   /// Time of construction, on the scheduler's clock.
@@ -97,6 +104,8 @@
     ended
   };
 
+  Seconds memory_wait() const;  // for how long its answer was not read on, for want of memory here
+  Seconds timeout_at() const;
   Seconds next_deadline() const;
   void send_over(UpstreamConnection& connection);
   bool guard_allows(const UpstreamConnection& connection, Seconds time_left);
@@ -122,9 +131,10 @@
   bool passed_guard_ = false;                 // the guard admitted it and was not yet told its outcome
   Seconds started_at_;
   Seconds written_at_ = 0;
-  Seconds cancel_settled_at_ = 0;  // while cancelling: no answer can be in transit after this time
-  std::uint64_t first_byte_ = 0;   // offset of the message in the bytes written to the connection
-  std::uint64_t last_byte_ = 0;    // offset one past its end
+  Seconds cancel_settled_at_ = 0;   // while cancelling: no answer can be in transit after this time
+  std::uint64_t first_byte_ = 0;    // offset of the message in the bytes written to the connection
+  std::uint64_t last_byte_ = 0;     // offset one past its end
+  Seconds memory_wait_before_ = 0;  // its connection's memory_wait() when it was written
   AttemptResult result_;
 };
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -15,16 +15,9 @@
 
 }  // namespace
 
-// While the outbox is full, clients that do not read their answers are closed, so that these cannot fill the
-// memory.
 void ClientConnection::answer(const std::string& tag, std::string_view status, std::string_view fields,
                               std::string_view body) {
-  // About one of the largest answers; a client that reads has less unsent.
-  constexpr std::size_t kSlowReaderBytes = 256UL * 1024;
-  if (outbox_.full() && stream_.unsent() > kSlowReaderBytes) {
-    slow_reader_ = true;
-    return stream_.close();
-  }
+  if (!body.empty()) admission_.answered(body.size());
   last_answered_at_ = scheduler_.now();
   if (!body.empty())
     stream_.write(resp_array_text({tag, status, fields, body}));
@@ -38,6 +31,21 @@
   return open_.contains(tag) || std::ranges::find(deferred_, tag, &Request::tag) != deferred_.end();
 }
 
+routing::ClientOutput ClientConnection::output() const {
+  const auto backlog = stream_.backlog();
+  return {.unsent_bytes = stream_.unsent(),
+          .open_requests = open_.size(),
+          .backlog_duration = backlog.duration,
+          .backlog_taken = backlog.bytes};
+}
+
+// Whether the client has read nothing for a while although answers wait for it. Clients that read slowly are
+// seen to read within this time, in steps of some ten kilobytes.
+bool ClientConnection::has_stalled() const {
+  constexpr Seconds kStallTimeout = 2;
+  return scheduler_.now() >= stream_.stalled_since() + kStallTimeout;
+}
+
 // Starts an orderly close. To close a socket that has unread bytes would reset the connection, and the client
 // could lose the last answers that were sent to it.
 void ClientConnection::begin_end() {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -16,6 +16,7 @@
 #include "io/scheduler.h"
 #include "io/stream.h"
 #include "net/client_request.h"
+#include "routing/output_admission.h"
 
 namespace walkpaddle::net {
 
@@ -31,11 +32,10 @@
 /// and discarded until the client closes its side or a time limit has passed.
 class ClientConnection {
  public:
-  /// Takes over an accepted socket. `scheduler` and `outbox` must outlive the connection.
-  ClientConnection(Scheduler& scheduler, Outbox& outbox, Fd socket)
-      : scheduler_(scheduler), outbox_(outbox), stream_(scheduler, outbox, std::move(socket)) {}
-  /// Writes one answer. Closes the connection instead if the client reads too slowly while the outbox is
-  /// full.
+  /// Takes over an accepted socket. The references must outlive the connection.
+  ClientConnection(Scheduler& scheduler, Outbox& outbox, routing::OutputAdmission& admission, Fd socket)
+      : scheduler_(scheduler), admission_(admission), stream_(scheduler, outbox, std::move(socket)) {}
+  /// Writes one answer.
   void answer(const std::string& tag, std::string_view status, std::string_view fields = {},
               std::string_view body = {});
   /// Registers an open request. `handle` is notified if the client leaves, and must live until
@@ -59,6 +59,8 @@
   bool idle() const { return !awaits_answers() && stream_.unsent() == 0; }
   Seconds idle_since() const { return std::max(last_received_at_, last_answered_at_); }
   bool has_tag(const std::string& tag) const;
+  routing::ClientOutput output() const;
+  bool has_stalled() const;
   void begin_end();
   void postpone_close();
   void connected();
@@ -69,14 +71,14 @@
   void notify_client_left();
 
   Scheduler& scheduler_;
-  Outbox& outbox_;
+  routing::OutputAdmission& admission_;
   Stream stream_;
   std::unordered_map<std::string, RequestHandle*> open_;  // by tag
-  std::deque<Request> deferred_;   // received while too many answers were unread; started once those are read
+  std::deque<Request> deferred_;   // wait until the client has read more answers, oldest first
   bool has_sent_message_ = false;  // at least one whole message was received
   Phase phase_ = Phase::open;
   Seconds close_at_ = 0;            // when an ending or half-closed connection is closed
-  bool slow_reader_ = false;        // the connection was closed because the client read too slowly
+  bool slow_reader_ = false;        // the connection was closed because the client had stopped reading
   Seconds max_accept_delay_ = 0;    // longest time that unread messages may have waited before the accept
   Seconds last_received_at_ = 0;    // when the client connected or last completed a message
   Seconds last_answered_at_ = 0;    // when an answer was last written
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -46,9 +46,10 @@
       outbox_(outbox),
       log_(log),
       max_connections_(max_connections),
-      messages_(scheduler, log, std::move(classes), std::move(serve)),
+      messages_(scheduler, outbox.budget(), log, std::move(classes), std::move(serve)),
       listener_(scheduler, std::move(listener)) {
   scheduler_.start(accept_all());
+  scheduler_.start(close_stalled_clients());
 }
 
 void ClientListener::set_guard(guard::Guard& guard) {
@@ -93,7 +94,7 @@
     return;
   }
   ::setsockopt(socket.get(), SOL_SOCKET, SO_SNDBUF, &kKernelBufferBytes, sizeof kKernelBufferBytes);
-  auto client = std::make_shared<ClientConnection>(scheduler_, outbox_, std::move(socket));
+  auto client = std::make_shared<ClientConnection>(scheduler_, outbox_, admission_, std::move(socket));
   client->max_accept_delay_ = std::max(0.0, scheduler_.now() - accept_failing_since_);
   connections_[client.get()] = client;
   scheduler_.start_isolated(run_connection(std::move(client)));
@@ -185,6 +186,28 @@
   client.notify_client_left();
 }
 
+// While answers wait for memory, closes the connections of clients that have stopped reading, so that their
+// unread answers do not keep those of other clients waiting. Clients that read are never closed for that.
+Task ClientListener::close_stalled_clients() {
+  constexpr Seconds kPollInterval = 0.1;
+  Event poll(scheduler_);
+  for (;;) {
+    co_await outbox_.budget().shortage();
+    while (outbox_.budget().is_short()) {
+      for (const auto& [client, owner] : connections_) {
+        if (client->stream_.unsent() == 0) continue;
+        client->stream_.retry_flush();
+        if (client->stream_.broken() || !client->has_stalled()) continue;
+        log_("client", "connection closed: {} bytes unread and nothing read for {:.1f} s, memory is short",
+             client->stream_.unsent(), scheduler_.now() - client->stream_.stalled_since());
+        client->slow_reader_ = true;
+        client->stream_.close();
+      }
+      co_await poll.wait(scheduler_.now() + kPollInterval);
+    }
+  }
+}
+
 // ---- Closing. ------------------------------------------------------------------------------------------
 
 void ClientListener::half_close(ClientConnection& client) {
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -44,6 +44,8 @@
   Fd hand_over_listener() { return listener_.detach(); }
   /// Half-closes each connection that has no outstanding answers and no unread bytes.
   void close_idle();
+  /// Requests must be answered by this time, because the program ends then.
+  void set_answer_by(Seconds time) { messages_.set_answer_by(time); }
   /// Answers every open and deferred request without serving it, and rejects later ones; for the end of the
   /// program.
   void abort_open();
@@ -55,6 +57,7 @@
  private:
   class Registration;
   Task accept_all();
+  Task close_stalled_clients();
   void accepted(Fd socket);
   Task run_connection(std::shared_ptr<ClientConnection> client);
   bool close_as_late(ClientConnection& client);
@@ -68,6 +71,7 @@
   Outbox& outbox_;
   Log& log_;
   const std::size_t max_connections_;
+  routing::OutputAdmission admission_;
   ClientMessages messages_;
   guard::Guard* guard_ = nullptr;  // null: no counts, no checks
   std::size_t closing_ = 0;        // number of half-closed connections
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -9,17 +9,36 @@
 
 namespace walkpaddle::net {
 
-// Requests of a client that has a few of the largest answers unread are deferred, so that a client that sends
-// requests and does not read cannot fill the memory. Its messages are still read, because it may withdraw
-// requests or disconnect.
+// Requests are deferred while the answers that their client has not read take too much memory. Its messages
+// are still read, because it may withdraw requests or disconnect. Requests behind the first one that waits
+// can only be rejected.
 void ClientMessages::serve_deferred(const std::shared_ptr<ClientConnection>& client) {
-  constexpr std::size_t kMaxUnsentBytes = 1 << 20;
+  using Verdict = routing::OutputAdmission::Verdict;
   auto& deferred = client->deferred_;
-  while (!deferred.empty() && !stopped_ && client->stream_.unsent() <= kMaxUnsentBytes) {
-    auto request = std::move(deferred.front());
-    deferred.pop_front();
-    serve_(client, std::move(request));
+  std::size_t waiting = 0;
+  while (waiting < deferred.size() && !stopped_) {
+    const auto verdict =
+        client->admission_.decide(client->output(), waiting, budget_.free_bytes(),
+                                  std::min(deferred[waiting].deadline, answer_by_), scheduler_.now());
+    if (verdict == Verdict::wait || (verdict == Verdict::start && waiting > 0)) {
+      ++waiting;
+      continue;
+    }
+    auto request = std::move(deferred[waiting]);
+    deferred.erase(deferred.begin() + static_cast<std::ptrdiff_t>(waiting));
+    if (verdict == Verdict::start)
+      serve_(client, std::move(request));
+    else
+      reject(*client, request);
   }
+  if (!deferred.empty()) client->stream_.wake_on_output();
+}
+
+// Answers a request that was not started.
+void ClientMessages::reject(ClientConnection& client, const Request& request) {
+  log_("shed", "{}: rejected, its client has {} bytes unread", request.id_text, client.stream_.unsent());
+  if (guard_ != nullptr) ++guard_->counters().shed;
+  client.answer(request.tag, "REJECT");
 }
 
 void ClientMessages::take(const std::shared_ptr<ClientConnection>& client) {
@@ -86,6 +105,8 @@
     return client->answer(tag, "ABORTED");
   }
   if (stopped_) return client->answer(tag, "REJECT");  // no attempt was started
+  if (request.body.size() > budget_.free_bytes()) return reject(*client, request);
+  request.body_memory = BufferBudget::Lease(budget_, request.body.size());
   client->deferred_.push_back(std::move(request));
   serve_deferred(client);
 }
--- a/src/net/client_messages.h
+++ b/src/net/client_messages.h
@@ -19,17 +19,22 @@
 /// Handles the messages of all connections: EXEC (a request), FORGET (the client no longer waits for a
 /// request) and ALIVE (a health check).
 ///
-/// Lifetimes: the scheduler, the log and the guard must outlive it. It must outlive the requests that it
-/// starts, because they are registered in its set of open ids. Threads: everything runs on the scheduler's
-/// one thread.
+/// Lifetimes: the scheduler, the budget, the log and the guard must outlive it. It must outlive the requests
+/// that it starts, because they are registered in its set of open ids. Threads: everything runs on the
+/// scheduler's one thread.
 class ClientMessages {
  public:
   /// Starts a request. The request's task shares ownership of the connection until it is answered.
   using Serve = std::function<void(std::shared_ptr<ClientConnection>, Request)>;
 
   /// `classes`: the request classes by index. `serve`: starts a request.
-  ClientMessages(Scheduler& scheduler, Log& log, std::vector<config::RequestClassName> classes, Serve serve)
-      : scheduler_(scheduler), log_(log), classes_(std::move(classes)), serve_(std::move(serve)) {}
+  ClientMessages(Scheduler& scheduler, BufferBudget& budget, Log& log,
+                 std::vector<config::RequestClassName> classes, Serve serve)
+      : scheduler_(scheduler),
+        budget_(budget),
+        log_(log),
+        classes_(std::move(classes)),
+        serve_(std::move(serve)) {}
 
   /// Sets the guard, which counts why connections are closed; without a guard nothing is counted.
   void set_guard(guard::Guard& guard) { guard_ = &guard; }
@@ -39,8 +44,10 @@
   void stop() { stopped_ = true; }
   /// Handles all whole messages that were received on a connection. A malformed message ends the connection.
   void take(const std::shared_ptr<ClientConnection>& client);
-  /// Starts deferred requests while the client's unread answers are below the limit.
+  /// Starts or rejects those deferred requests that need not wait any longer.
   void serve_deferred(const std::shared_ptr<ClientConnection>& client);
+  /// Requests must be answered by this time, whatever their deadline, because the program ends.
+  void set_answer_by(Seconds time) { answer_by_ = time; }
 
  private:
   void handle(const std::shared_ptr<ClientConnection>& client, const std::vector<std::string_view>& words);
@@ -48,13 +55,17 @@
   void execute(const std::shared_ptr<ClientConnection>& client, const std::vector<std::string_view>& words,
                const std::string& tag);
 
+  void reject(ClientConnection& client, const Request& request);
+
   Scheduler& scheduler_;
+  BufferBudget& budget_;
   Log& log_;
   const std::vector<config::RequestClassName> classes_;
   const Serve serve_;
   guard::Guard* guard_ = nullptr;
   OpenId::Ids open_ids_;
   std::string alive_reply_ = "UNREADY";
+  Seconds answer_by_ = kNoTime;
   bool stopped_ = false;
 };
 
--- a/src/net/request_dispatcher.cpp
+++ b/src/net/request_dispatcher.cpp
@@ -45,6 +45,8 @@
   if (attempt_ != nullptr) attempt_->abandon_if_unsent();  // it was decided before the purge
 }
 
+void RequestHandle::answer_delayed() { dispatcher_.input().answer_delayed(slot_, attempts_ - 1); }
+
 void RequestHandle::attempt_ended(AttemptOutcome outcome, FillOutcome fill, Seconds duration,
                                   Seconds fill_wait, Seconds transfer_time, bool request_over) {
   attempt_ = nullptr;
--- a/src/net/request_dispatcher.h
+++ b/src/net/request_dispatcher.h
@@ -46,6 +46,8 @@
   std::optional<Decision> take_decision() { return std::exchange(decision_, std::nullopt); }
   /// Sets the attempt that carries out the latest decision, so that it can be cancelled.
   void set_attempt(Attempt* attempt) { attempt_ = attempt; }
+  /// Reports that the attempt's answer waits for memory of this router.
+  void answer_delayed();
   /// Reports the end of the attempt. `duration`: from its construction to its end. `fill_wait`,
   /// `transfer_time`: parts of the duration, 0 if unknown. `request_over`: no other attempt is needed.
   void attempt_ended(AttemptOutcome outcome, FillOutcome fill, Seconds duration, Seconds fill_wait,
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -155,7 +155,8 @@
           .is_final = timeout_at >= request_.deadline,
           .has_effect = request_.has_effect,
           .record = &handle_.record(),
-          .copies_valid_since = handle_.valid_since()};
+          .copies_valid_since = handle_.valid_since(),
+          .deadline = request_.deadline};
 }
 
 void RequestTask::attempt_started(Attempt& attempt) {
@@ -219,7 +220,7 @@
   check_not_modified(decision.endpoint, result);
   check_copy(decision, attempt, result);
   const bool served = result.outcome == AttemptOutcome::served && !handle_.has_client_left();
-  const Seconds duration = scheduler_.now() - attempt.started_at();
+  const Seconds duration = scheduler_.now() - attempt.started_at() - result.memory_wait;
   const auto size = static_cast<double>(result.body.size());
   if (served && may_answer()) answer(result);
   if (!served && !handle_.has_client_left())
@@ -255,6 +256,7 @@
     while (!attempt.ended()) {
       const bool changed = co_await attempt.wait();
       if (!changed) attempt.on_timer();
+      if (attempt.awaits_memory()) task.handle().answer_delayed();
     }
     if (task.attempt_ended(*decision, attempt)) break;
     if (task.count_if_left()) co_return;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -16,6 +16,9 @@
 // kLeastProgressBytes in this time.
 constexpr Seconds kMaxStall = 0.4;
 constexpr std::size_t kLeastProgressBytes = 1024;
+// Read without a reservation: the small answers, and of the others enough to know their length. Connections
+// are bounded in number, so these bytes are too.
+constexpr std::size_t kUnreservedBytes = 4096;
 
 }  // namespace
 
@@ -27,10 +30,16 @@
 
 UpstreamConnection::UpstreamConnection(Scheduler& scheduler, Outbox& outbox, Log& log, Fd socket,
                                        UpstreamEndpoint& endpoint)
-    : scheduler_(scheduler), log_(log), endpoint_(endpoint), stream_(scheduler, outbox, std::move(socket)) {}
+    : scheduler_(scheduler),
+      log_(log),
+      endpoint_(endpoint),
+      stream_(scheduler, outbox, std::move(socket)),
+      budget_(outbox.budget()),
+      answer_memory_(budget_, [this] { stream_.wake(); }) {}
 
 bool UpstreamConnection::accepts(const Attempt& attempt, std::size_t max_in_flight) const {
-  return usable() && stream_.can_write() && in_flight_ < max_in_flight && !open_.contains(attempt.spec_.id);
+  return usable() && !awaits_memory() && stream_.can_write() && in_flight_ < max_in_flight &&
+         !open_.contains(attempt.spec_.id);
 }
 
 void UpstreamConnection::set_connected() {
@@ -59,6 +68,7 @@
 void UpstreamConnection::send(Attempt& attempt, std::string_view message, Seconds now) {
   stream_.write(message);
   open_[attempt.spec_.id] = &attempt;
+  attempt.memory_wait_before_ = memory_wait();
   ++in_flight_;
   used_at_ = now;
 }
@@ -110,10 +120,47 @@
 
 // ---- Answers. ------------------------------------------------------------------------------------------
 
+// Of half of the memory each read may fill a whole buffer, so that ordinary answers take one call.
+std::size_t UpstreamConnection::max_read_bytes() const {
+  if (answer_memory_.bytes() > 0) return answer_memory_.bytes();
+  const bool plenty = budget_.free_bytes() > budget_.limit() / 2;
+  return plenty ? static_cast<std::size_t>(-1) : kUnreservedBytes;
+}
+
+// Reserves memory for the rest of an answer as soon as its length is known. Without memory, reading stops:
+// the rest stays with the kernel and the endpoint until clients have read other answers.
+void UpstreamConnection::reserve_answer() {
+  if (!answer_begun()) return answer_memory_.release();
+  const auto missing = missing_resp_bytes(stream_.in());
+  if (missing <= kUnreservedBytes) return answer_memory_.release();
+  if (missing <= answer_memory_.bytes()) return answer_memory_.reduce_to(missing);
+  stream_.expect(stream_.in().size() + missing);
+  answer_memory_.request(missing);
+  if (awaits_memory()) stop_reading();
+}
+
+void UpstreamConnection::stop_reading() {
+  waiting_since_ = scheduler_.now();
+  for (const auto& [id, attempt] : open_)
+    if (attempt != nullptr) attempt->event_.set();  // its deadline has changed
+}
+
+void UpstreamConnection::resume_reading() {
+  if (waiting_since_ >= kNoTime) return;
+  memory_wait_ += scheduler_.now() - std::exchange(waiting_since_, kNoTime);
+  progress_at_ = scheduler_.now();
+}
+
+Seconds UpstreamConnection::memory_wait() const {
+  return memory_wait_ + std::max(0.0, scheduler_.now() - waiting_since_);
+}
+
 UpstreamConnection::Input UpstreamConnection::read(CommandListener* listener) {
+  if (awaits_memory()) return Input::none;
+  resume_reading();
   const bool had_begun = answer_begun();
   const auto answers_before = answers_;
-  const auto result = stream_.read();
+  const auto result = stream_.read(max_read_bytes());
   if (result == Stream::ReadResult::end) return Input::end;
   if (result == Stream::ReadResult::nothing) return Input::none;
   last_received_at_ = scheduler_.now();
@@ -121,6 +168,7 @@
     end_as("malformed answer", guard::EndpointClose::answer_unusable);
     return Input::end;
   }
+  reserve_answer();
   const auto bytes = stream_.in().size();
   if (!had_begun || answers_ != answers_before || bytes >= bytes_at_progress_ + kLeastProgressBytes) {
     progress_at_ = last_received_at_;
@@ -135,12 +183,14 @@
 
 Seconds UpstreamConnection::read_deadline(Seconds idle_close) const {
   constexpr Seconds kLeastWait = 0.1;
+  if (awaits_memory()) return kNoTime;
   if (answer_begun()) return progress_at_ + kMaxStall;
   if (in_flight_ > 0) return kNoTime;
   return std::max(used_at_ + idle_close, scheduler_.now() + kLeastWait);
 }
 
 bool UpstreamConnection::timed_out(Seconds idle_close) {
+  if (awaits_memory()) return false;
   if (answer_begun() && scheduler_.now() >= progress_at_ + kMaxStall) {
     end_as("answer stopped before its end", guard::EndpointClose::answer_stopped);
     return true;
@@ -181,8 +231,11 @@
   if (attempt == nullptr) return;
   release(*attempt, false);
   attempt->connection_ = nullptr;
-  endpoint_.add_response_time(scheduler_.now() - attempt->written_at_);
-  store_answer(answer, attempt->result_);
+  auto& result = attempt->result_;
+  result.memory_wait = memory_wait() - attempt->memory_wait_before_;
+  endpoint_.add_response_time(scheduler_.now() - attempt->written_at_ - result.memory_wait);
+  store_answer(answer, result);
+  result.body_memory = BufferBudget::Lease(budget_, result.body.size());
   attempt->finish(answer.outcome);
 }
 
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -121,8 +121,13 @@
   void end_attempts();
 
   /// Reads what has arrived and handles whole answers. Answers to commands go to `listener`, which may be
-  /// null.
+  /// null. Reads nothing while awaits_memory().
   Input read(CommandListener* listener);
+  /// Whether reading has stopped until there is memory for the rest of an answer (BufferBudget). The endpoint
+  /// is not to blame for what is late meanwhile.
+  bool awaits_memory() const { return answer_memory_.is_waiting(); }
+  /// For how long reading has been stopped for want of memory, in all.
+  Seconds memory_wait() const;
   /// The time at which timed_out() must be called if nothing arrives. `idle_close`: the time without use
   /// after which the connection is closed.
   Seconds read_deadline(Seconds idle_close) const;
@@ -134,12 +139,20 @@
   void take_answer(const std::vector<std::string_view>& words, CommandListener* listener);
   void forget(const Attempt& attempt, bool may_be_answered);
   bool answer_begun() const { return !stream_.in().empty(); }
+  std::size_t max_read_bytes() const;
+  void reserve_answer();
+  void stop_reading();
+  void resume_reading();
   void end_as(std::string_view why, guard::EndpointClose reason);
 
   Scheduler& scheduler_;
   Log& log_;
   UpstreamEndpoint& endpoint_;
   Stream stream_;
+  BufferBudget& budget_;
+  BufferBudget::Reservation answer_memory_;  // for the rest of the answer that has begun
+  Seconds memory_wait_ = 0;                  // time spent without memory, up to waiting_since_
+  Seconds waiting_since_ = kNoTime;          // since when memory is awaited
   bool connected_ = false;
   bool retired_ = false;
   guard::EndpointClose retire_reason_ = guard::EndpointClose::silent;
--- a/src/routing/outlier_detection.cpp
+++ b/src/routing/outlier_detection.cpp
@@ -65,8 +65,8 @@
 }
 
 int OutlierDetector::silent_endpoint(const AttemptState& attempt) const {
-  if (silent(endpoints_[attempt.endpoint], attempt.sent_at)) return attempt.endpoint;
-  if (attempt.may_fill && silent(endpoints_[attempt.source], attempt.sent_at)) return attempt.source;
+  if (silent(endpoints_[attempt.endpoint], attempt.waiting_since())) return attempt.endpoint;
+  if (attempt.may_fill && silent(endpoints_[attempt.source], attempt.waiting_since())) return attempt.source;
   return -1;
 }
 
--- a/src/routing/policy.cpp
+++ b/src/routing/policy.cpp
@@ -75,6 +75,7 @@
   void set_represented_requests(int request, double in_flight, double requests) override;
   void client_left(int request) override;
   void load_reported(int endpoint, double busy) override;
+  void answer_delayed(int request, int attempt) override;
   void attempt_ended(int request, int attempt, AttemptOutcome outcome, FillOutcome fill, Seconds took,
                      Seconds waited, Seconds sending, bool request_over) override;
   void set_valid_since(int request, Seconds valid_since) override { at(request).valid_since = valid_since; }
@@ -211,6 +212,10 @@
   at(request).represented_requests = requests;
 }
 
+void Policy::answer_delayed(int request, int attempt) {
+  at(request).attempts[static_cast<std::size_t>(attempt)].delayed_until = context_.now;
+}
+
 void Policy::client_left(int request) {
   if (at(request).open) expect_retry(at(request));
   close(at(request));
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -79,6 +79,9 @@
   virtual void client_left(int request) = 0;
   /// Passes a load report: `busy` is the share of its capacity that the endpoint has in use.
   virtual void load_reported(int endpoint, double busy) = 0;
+  /// Reports that the router itself does not read the answer of an attempt on, for want of memory. Until this
+  /// time its endpoint is not to blame for silence. To be repeated while the wait lasts.
+  virtual void answer_delayed(int request, int attempt) = 0;
   /// Reports the end of an attempt, by its number in the request. `took` is the time since its sending;
   /// `waited` the part of it until the source's first byte or failure, 0 if not reported; `sending` the time
   /// to send the answer at the client's rate, 0 if its size is not known; `request_over` whether the request
--- a/src/routing/request_state.h
+++ b/src/routing/request_state.h
@@ -2,6 +2,7 @@
 /// State of a request and of its attempts.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -21,9 +22,13 @@
   bool may_fill = false;         ///< a miss causes a fill from `source`
   bool cached_only = false;      ///< `source` supplies only what it has cached
   Seconds sent_at = 0;           ///< time of the decision
+  Seconds delayed_until = 0;     ///< until then the router itself did not read its answer on
   double weight = 0;             ///< in attempts of mean work
   double fill_probability = 1;   ///< probability that it causes a fill
   double origin_weight = 0;      ///< weight reserved at `origin`
+
+  /// Since when the endpoint could have been heard.
+  Seconds waiting_since() const { return std::max(sent_at, delayed_until); }
 };
 
 /// One request, from its receipt until it is answered and all its attempts have ended.
--- a/src/routing/stuck_attempts.cpp
+++ b/src/routing/stuck_attempts.cpp
@@ -33,7 +33,7 @@
   // A single attempt can be lost while its endpoint answers others; without the timeout it would wait until
   // its deadline.
   const Seconds now = parts_.context.now;
-  if (now - attempt.sent_at < parts_.service_times.loss_timeout(request)) return -1;
+  if (now - attempt.waiting_since() < parts_.service_times.loss_timeout(request)) return -1;
   const int lost_endpoint = attempt.may_fill ? attempt.source : attempt.endpoint;
   auto& endpoint = parts_.endpoints[lost_endpoint];
   (attempt.may_fill ? endpoint.fills : endpoint.attempts).record_lost(now);
--- a/src/server/lifecycle.cpp
+++ b/src/server/lifecycle.cpp
@@ -70,6 +70,7 @@
   Event poll(scheduler);
   const Seconds asked_at = scheduler.now();
   const Seconds drained_by = asked_at + drain_limit();
+  parts_.client_listener.set_answer_by(drained_by);
   while (scheduler.now() < drained_by && (scheduler.now() < asked_at + kMinDrainTime || answers_pending()))
     co_await poll.wait(scheduler.now() + kDrainPollInterval);
 
@@ -108,6 +109,7 @@
   auto& clients = parts_.client_listener;
   Event poll(scheduler);
   const Seconds end = scheduler.now() + longest_deadline(parts_.config.settings);
+  clients.set_answer_by(end);
   rollouts.take_listener(clients.hand_over_listener());
   do {
     clients.close_idle();
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -14,12 +14,12 @@
 constexpr Seconds kPurgeTrimInterval = 0.25;
 constexpr int kDefaultStreamsPerConnection = 32;
 
-// Output that has not been sent yet may take a quarter of the memory. Requests and answers that are still
-// being received may take as much again, and the allocator retains some memory.
-std::size_t outbox_bytes(double memory_mb) {
-  constexpr double kOutboxShare = 0.25;
+// Bytes in the buffers of all streams may take a quarter of the memory. Code, tables and tasks take the rest,
+// and the allocator keeps some memory.
+std::size_t buffer_bytes(double memory_mb) {
+  constexpr double kBufferShare = 0.25;
   constexpr double kBytesPerMegabyte = 1 << 20;
-  return static_cast<std::size_t>(memory_mb * kBytesPerMegabyte * kOutboxShare);
+  return static_cast<std::size_t>(memory_mb * kBytesPerMegabyte * kBufferShare);
 }
 
 guard::Guard::Report report_violations(Log& log) {
@@ -50,7 +50,7 @@
               scheduler_.now()),
       dispatcher_(scheduler_, fold_seed(config_.seed), config_.settings, purges_, report_violations(log)),
       turn_end_call_(scheduler_, [this] { on_turn_end(); }),
-      outbox_(scheduler_, outbox_bytes(config_.memory_mb)),
+      outbox_(scheduler_, buffer_bytes(config_.memory_mb)),
       upstream_(scheduler_, outbox_, log,
                 {.max_connections = descriptors_.upstream_connections,
                  .max_attempts_per_connection =
