--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -286,12 +286,21 @@
       writable_.set();
     }
   }
+  update_backlog();
+}
+
+void Stream::update_backlog() {
+  const Seconds now = scheduler_.now();
   if (out_.size() == 0) {
-    backlog_since_ = kNoTime;
-  } else if (blocked_ && backlog_since_ >= kNoTime) {
-    backlog_since_ = scheduler_.now();
+    drained_at_ = std::min(drained_at_, now);
+    return;
+  }
+  if (!blocked_) return;
+  if (backlog_since_ >= kNoTime || now > drained_at_ + kMaxBacklogPause) {
+    backlog_since_ = now;
     flushed_at_backlog_ = flushed_;
   }
+  drained_at_ = kNoTime;
 }
 
 void Stream::retry_flush() {
@@ -300,7 +309,7 @@
 }
 
 Stream::BacklogProgress Stream::backlog() const {
-  if (backlog_since_ >= kNoTime) return {};
+  if (backlog_since_ >= kNoTime || scheduler_.now() > drained_at_ + kMaxBacklogPause) return {};
   return {scheduler_.now() - backlog_since_, static_cast<std::size_t>(flushed_ - flushed_at_backlog_)};
 }
 
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -125,7 +125,8 @@
   Seconds stalled_since() const { return unsent() > 0 ? progress_at_ : kNoTime; }
   /// What the peer has taken of a backlog of output.
   struct BacklogProgress {
-    Seconds duration = 0;   ///< since when the kernel has not accepted all output; 0: it has
+    /// Since when the kernel has not accepted all output, but for pauses of kMaxBacklogPause; 0: it has.
+    Seconds duration = 0;
     std::size_t bytes = 0;  ///< bytes that it has accepted in this time
   };
   /// The progress of the present backlog.
@@ -151,9 +152,12 @@
   bool can_write() const { return !broken_ && !unwritable_; }
 
  private:
+  // Within this time the next answer of a busy client follows; the kernel is still sending meanwhile.
+  static constexpr Seconds kMaxBacklogPause = 0.2;
   static constexpr std::size_t kNoLimit = static_cast<std::size_t>(-1);
   void on_ready(std::uint32_t epoll_events) override;
   void output_accepted(std::size_t bytes);
+  void update_backlog();
 
   Scheduler& scheduler_;
   Outbox& outbox_;
@@ -164,6 +168,7 @@
   OutputBuffer out_;
   std::uint64_t written_ = 0, flushed_ = 0;
   Seconds progress_at_ = 0;               // when the kernel last accepted output, or the first was written
+  Seconds drained_at_ = kNoTime;          // when the kernel accepted all of a backlog
   Seconds backlog_since_ = kNoTime;       // since when bytes have been unsent that the kernel refused
   std::uint64_t flushed_at_backlog_ = 0;  // flushed_ at that time
   bool queued_ = false, blocked_ = false, broken_ = false;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -38,6 +38,10 @@
   /// Writes one answer.
   void answer(const std::string& tag, std::string_view status, std::string_view fields = {},
               std::string_view body = {});
+  /// Whether an answer of this size would reach the client after the deadline, because it reads too slowly.
+  bool answer_is_late(std::size_t body_bytes, Seconds deadline) const {
+    return routing::OutputAdmission::answer_is_late(output(), body_bytes, deadline - scheduler_.now());
+  }
   /// Registers an open request. `handle` is notified if the client leaves, and must live until
   /// remove_request().
   void add_request(const std::string& tag, RequestHandle& handle) { open_.emplace(tag, &handle); }
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -26,10 +26,12 @@
     }
     auto request = std::move(deferred[waiting]);
     deferred.erase(deferred.begin() + static_cast<std::ptrdiff_t>(waiting));
-    if (verdict == Verdict::start)
-      serve_(client, std::move(request));
-    else
+    if (verdict == Verdict::reject) {
       reject(*client, request);
+      continue;
+    }
+    request.started = routing::OutputAdmission::StartedRequest(client->admission_);
+    serve_(client, std::move(request));
   }
   if (!deferred.empty()) client->stream_.wake_on_output();
 }
--- a/src/net/client_request.h
+++ b/src/net/client_request.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "config/platform_config.h"
 #include "io/buffer_budget.h"
+#include "routing/output_admission.h"
 
 namespace walkpaddle::net {
 
@@ -61,6 +62,7 @@
   Seconds deadline = 0;             ///< end of the client's time limit, on the scheduler's clock
   OpenId open_id;                   ///< reserves the id until the request has ended
   BufferBudget::Lease body_memory;  ///< counts the body
+  routing::OutputAdmission::StartedRequest started;  ///< counts the request once it was started
 };
 
 /// Parses the words of an EXEC message: command, tag, class, fields, and optionally a body. The client's time
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -63,6 +63,7 @@
   void check_copy(const Decision& decision, const Attempt& attempt, AttemptResult& result);
   AttemptOutcome evaluate_copy(const Attempt& attempt, const AttemptResult& result, Seconds max_age);
   void answer(const AttemptResult& result);
+  void answer_too_late();
   bool may_answer() { return guard_.may_answer(handle_.record()) == guard::Invariant::none; }
   void count_end(RequestEnd end);
 
@@ -215,6 +216,13 @@
   client_.answer(request_.tag, "RESULT", fields, result.not_modified ? std::string_view() : result.body);
 }
 
+// The client could not read the answer in time. What is given up is told it at once.
+void RequestTask::answer_too_late() {
+  const bool may_reject = guard_.may_reject(handle_.record()) == guard::Invariant::none;
+  log_("shed", "{}: {}, its client reads too slowly", request_.id_text, may_reject ? "rejected" : "failed");
+  if (may_answer()) client_.answer(request_.tag, may_reject ? "REJECT" : "ABORTED");
+}
+
 bool RequestTask::attempt_ended(const Decision& decision, Attempt& attempt) {
   auto& result = attempt.result();
   check_not_modified(decision.endpoint, result);
@@ -222,7 +230,9 @@
   const bool served = result.outcome == AttemptOutcome::served && !handle_.has_client_left();
   const Seconds duration = scheduler_.now() - attempt.started_at() - result.memory_wait;
   const auto size = static_cast<double>(result.body.size());
-  if (served && may_answer()) answer(result);
+  const bool in_time = served && !client_.answer_is_late(result.body.size(), request_.deadline);
+  if (in_time && may_answer()) answer(result);
+  if (served && !in_time) answer_too_late();
   if (!served && !handle_.has_client_left())
     log_("attempt", "{}: attempt {} of {:.3f} s at {} ended as {}", request_.id_text, attempts_, duration,
          upstream_.id(decision.endpoint), to_string(result.outcome));
@@ -232,8 +242,8 @@
   handle_.attempt_ended(result.outcome, result.fill, duration, result.report.fill_wait, transfer_time,
                         served || handle_.has_client_left());
   if (!served) return false;
-  ++guard_.counters().served;
-  count_end(RequestEnd::served);
+  ++(in_time ? guard_.counters().served : guard_.counters().shed);
+  count_end(in_time ? RequestEnd::served : RequestEnd::rejected);
   return true;
 }
 
