DNS over TCP: a resolver that sends many queries at once gets all replies

Seen: 20,000 queries at once on one connection, read as fast as they come: the connection is closed, 0 replies of 20,000. Change: while 64 KB are unsent no further queries are read; the connection is closed only if nothing of them is read for 5 s.

--- a/src/dns/dns_server.cpp
+++ b/src/dns/dns_server.cpp
@@ -13,7 +13,8 @@
 
 constexpr std::size_t kMaxOpenLookups = 4096;  // each takes a request slot and a task, some hundred bytes
 constexpr std::size_t kMaxConnections = 16;    // RFC 7766 asks for several at a time
-constexpr std::size_t kMaxQueryBytes = 4096;   // queries for names of the zone take less than a tenth of it
+constexpr std::size_t kMaxUnsentBytes = std::size_t{64} * 1024;  // on one connection, hundreds of replies
+constexpr std::size_t kMaxQueryBytes = 4096;  // queries for names of the zone take less than a tenth of it
 
 }  // namespace
 
@@ -76,38 +77,45 @@
 }
 
 // Serves any number of queries on one connection; replies are sent in the order in which they are decided.
-// Closes the connection if no complete query arrives for a while, or if the client does not read its replies.
+// While many replies are unsent, no further queries are read. Closes the connection if no complete query
+// arrives for a while, or if the client reads none of its replies.
 Task DnsServer::serve_connection(Fd fd) {
-  constexpr Seconds kQueryTimeout = 5;
-  constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+  constexpr Seconds kTimeout = 5;
   struct Count {
     std::size_t& count;
     ~Count() { --count; }
   } count{++connections_};
   auto stream = std::make_shared<Stream>(scheduler_, outbox_, std::move(fd));
   for (Seconds last_query_at = scheduler_.now();;) {
-    const auto result = stream->read();
-    if (result == Stream::ReadResult::end || stream->unsent() > kMaxUnsentBytes) break;
-    if (result == Stream::ReadResult::bytes) {
-      bool valid = true;
-      while (valid && stream->in().size() >= 2) {
-        const auto in = stream->in();
-        const std::size_t size = static_cast<unsigned char>(in[0]) << 8 | static_cast<unsigned char>(in[1]);
-        valid = size > 0 && size <= kMaxQueryBytes;
-        if (!valid || in.size() < 2 + size) break;
-        handle_query(in.substr(2, size), {{}, stream, 65535});
-        stream->consume(2 + size);
-        last_query_at = scheduler_.now();
-      }
-      if (!valid) break;
-      continue;
-    }
-    co_await stream->readable(last_query_at + kQueryTimeout);
-    if (scheduler_.now() >= last_query_at + kQueryTimeout) break;
+    const bool may_read = stream->unsent() <= kMaxUnsentBytes;
+    const auto result = may_read ? stream->read() : Stream::ReadResult::nothing;
+    if (result == Stream::ReadResult::end) break;
+    if (!take_queries(stream, last_query_at)) break;
+    if (result == Stream::ReadResult::bytes) continue;
+    stream->wake_on_output();
+    const bool is_full = stream->unsent() > kMaxUnsentBytes;
+    const Seconds until = (is_full ? stream->stalled_since() : last_query_at) + kTimeout;
+    co_await stream->readable(until);
+    if (scheduler_.now() >= until) break;
   }
   stream->close();
 }
 
+// Handles the whole queries that were received, until many replies are unsent. False if one is malformed.
+bool DnsServer::take_queries(const std::shared_ptr<Stream>& stream, Seconds& last_query_at) {
+  constexpr std::size_t kLengthBytes = 2;
+  while (stream->in().size() >= kLengthBytes && stream->unsent() <= kMaxUnsentBytes) {
+    const auto in = stream->in();
+    const std::size_t size = static_cast<unsigned char>(in[0]) << 8 | static_cast<unsigned char>(in[1]);
+    if (size == 0 || size > kMaxQueryBytes) return false;
+    if (in.size() < kLengthBytes + size) return true;
+    handle_query(in.substr(kLengthBytes, size), {{}, stream, 65535});
+    stream->consume(kLengthBytes + size);
+    last_query_at = scheduler_.now();
+  }
+  return true;
+}
+
 void DnsServer::send_reply(const Client& client, const std::string& reply) {
   if (reply.empty()) return;
   if (client.stream) {
--- a/src/dns/dns_server.h
+++ b/src/dns/dns_server.h
@@ -41,6 +41,7 @@
   Task serve_datagrams();
   Task accept_connections();
   Task serve_connection(Fd fd);
+  bool take_queries(const std::shared_ptr<Stream>& stream, Seconds& last_query_at);
   void handle_query(std::string_view bytes, Client client);
   Task run_lookup(Question question, Zone::ResolvedName name, Client client);
   void send_reply(const Client& client, const std::string& reply);
--- a/tests/router_process.h
+++ b/tests/router_process.h
@@ -39,8 +39,10 @@
 // The program, started with a configuration; ended with the object.
 struct Program {
   // If `config` is empty, the configuration file is a named pipe, and the program waits for it to be written.
-  // `log`: a descriptor for standard error; by default that goes to a file.
-  Program(const std::string& name, const std::string& config, int listen_port, int log = -1)
+  // `log`: a descriptor for standard error; by default that goes to a file. `operator_config`: the text of
+  // the operator's file; empty: none. FOLDER in it stands for the program's folder.
+  Program(const std::string& name, const std::string& config, int listen_port, int log = -1,
+          std::string operator_config = "")
       : port(listen_port) {
     folder = std::filesystem::temp_directory_path() / fmt::format("walkpaddle-{}-{}", name, ::getpid());
     std::filesystem::create_directory(folder);
@@ -48,6 +50,10 @@
       REQUIRE(::mkfifo((folder / "config.json").c_str(), 0600) == 0);
     else
       std::ofstream(folder / "config.json") << config;
+    for (auto at = operator_config.find("FOLDER"); at != std::string::npos;
+         at = operator_config.find("FOLDER"))
+      operator_config.replace(at, 6, folder.string());
+    std::ofstream(folder / "walkpaddle.conf") << operator_config;
     const char* program = std::getenv("WALKPADDLE");
     REQUIRE(program != nullptr);
     pid = ::fork();
@@ -55,6 +61,7 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::setenv("LB_CONFIG", (folder / "config.json").c_str(), 1);
     ::unsetenv("LB_LISTEN");
+    if (!operator_config.empty()) ::setenv("WALKPADDLE_FILE", (folder / "walkpaddle.conf").c_str(), 1);
     ::dup2(log >= 0 ? log : ::open((folder / "log").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600), 2);
     ::execl(program, program, nullptr);
     ::_exit(127);
@@ -107,4 +114,12 @@
   pid_t pid = -1;
 };
 
+// Peak resident memory of a process in MB (2^20 bytes); 0 once it has ended.
+inline double peak_memory_mb(pid_t pid) {
+  std::ifstream status(fmt::format("/proc/{}/status", pid));
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with("VmHWM:")) return std::stod(line.substr(6)) / 1024;
+  return 0;
+}
+
 }  // namespace walkpaddle
--- a/tests/unread_answers.cpp
+++ b/tests/unread_answers.cpp
@@ -152,14 +152,6 @@
   bool ended = false;
 };
 
-// Peak resident memory of a process in MB (2^20 bytes); 0 once it has ended.
-double peak_memory_mb(pid_t pid) {
-  std::ifstream status(fmt::format("/proc/{}/status", pid));
-  for (std::string line; std::getline(status, line);)
-    if (line.starts_with("VmHWM:")) return std::stod(line.substr(6)) / 1024;
-  return 0;
-}
-
 struct Result {
   int requests = 0, unanswered = 0, served = 0;
   Seconds last_answer_after = 0;
