Admin socket: requests wait while their replies are unread

Seen: 400,000 requests written without reading the replies: peak memory 79 MB of 32. Change: while 64 KB of replies are unsent, no further requests are read.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-constexpr std::size_t kMaxSessions = 8;      // further connections are closed at once
-constexpr std::size_t kMaxLineBytes = 4096;  // of a request
+constexpr std::size_t kMaxSessions = 8;                          // further connections are closed at once
+constexpr std::size_t kMaxLineBytes = 4096;                      // of a request
+constexpr std::size_t kMaxUnsentBytes = std::size_t{64} * 1024;  // of one session
 constexpr Seconds kAcceptRetryInterval = 0.1;
 constexpr Seconds kIdleTimeout = 60;
 
@@ -49,29 +50,31 @@
   }
 }
 
+// While many replies are unsent, no further requests are read.
 Task AdminServer::session(Fd fd) {
   const SessionCounter counted(sessions_);
   Stream stream(scheduler_, outbox_, std::move(fd));
   for (;;) {
-    const auto came = stream.read();
+    const bool may_read = stream.unsent() <= kMaxUnsentBytes;
+    const auto came = may_read ? stream.read() : Stream::ReadResult::nothing;
     if (came == Stream::ReadResult::end) break;
-    if (came == Stream::ReadResult::bytes) {
-      answer_lines(stream);
-      if (stream.in().size() > kMaxLineBytes) break;
-      continue;
-    }
+    if (!answer_lines(stream)) break;
+    if (came == Stream::ReadResult::bytes) continue;
+    stream.wake_on_output();
     const bool readable = co_await stream.readable(scheduler_.now() + kIdleTimeout);
     if (!readable) break;
   }
 }
 
-void AdminServer::answer_lines(Stream& stream) {
-  for (;;) {
+// Answers the whole requests that were received, until many replies are unsent. False if one is too long.
+bool AdminServer::answer_lines(Stream& stream) {
+  while (stream.unsent() <= kMaxUnsentBytes) {
     const auto end = stream.in().find('\n');
-    if (end == std::string_view::npos) return;
+    if (end == std::string_view::npos) return stream.in().size() <= kMaxLineBytes;
     stream.write(replies_.answer(std::string(stream.in().substr(0, end))) + "\n");
     stream.consume(end + 1);
   }
+  return true;
 }
 
 }  // namespace walkpaddle::admin
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -27,7 +27,7 @@
  private:
   Task accept_all();
   Task session(Fd fd);
-  void answer_lines(Stream& stream);
+  bool answer_lines(Stream& stream);
 
   Scheduler& scheduler_;
   Outbox& outbox_;
--- a/tests/bulk_replies.cpp
+++ b/tests/bulk_replies.cpp
@@ -89,3 +89,17 @@
   CHECK(exchange(fd, query, kQueries, size, 1).received == kQueries * size);  // reads after a second
   CHECK(peak_memory_mb(router.program.pid) <= kMemoryMb);
 }
+
+// Prevents that an administrator's client that sends without reading fills the memory.
+TEST_CASE(
+    "given requests at the admin socket, when their replies are not read, then the memory stays bounded") {
+  constexpr int kRequests = 400'000;
+  Router router("control { socket = \"FOLDER/control\" }\n");
+  Fd fd = dial((router.program.folder / "control").string());
+  REQUIRE(fd);
+  ::fcntl(fd.get(), F_SETFL, 0);
+  const auto size = reply_size(fd, "x\n");
+  REQUIRE(size > 10);
+  CHECK(exchange(fd, "x\n", kRequests, size, 2).received == kRequests * size);
+  CHECK(peak_memory_mb(router.program.pid) <= kMemoryMb);
+}
