--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -216,11 +216,11 @@
   client_.answer(request_.tag, "RESULT", fields, result.not_modified ? std::string_view() : result.body);
 }
 
-// The client could not read the answer in time. What is given up is told it at once.
+// The client could not read the answer in time. What is given up is told it at once, as a failure: the
+// request has run.
 void RequestTask::answer_too_late() {
-  const bool may_reject = guard_.may_reject(handle_.record()) == guard::Invariant::none;
-  log_("shed", "{}: {}, its client reads too slowly", request_.id_text, may_reject ? "rejected" : "failed");
-  if (may_answer()) client_.answer(request_.tag, may_reject ? "REJECT" : "ABORTED");
+  log_("shed", "{}: failed, its client reads too slowly", request_.id_text);
+  if (may_answer()) client_.answer(request_.tag, "ABORTED");
 }
 
 bool RequestTask::attempt_ended(const Decision& decision, Attempt& attempt) {
@@ -242,8 +242,8 @@
   handle_.attempt_ended(result.outcome, result.fill, duration, result.report.fill_wait, transfer_time,
                         served || handle_.has_client_left());
   if (!served) return false;
-  ++(in_time ? guard_.counters().served : guard_.counters().shed);
-  count_end(in_time ? RequestEnd::served : RequestEnd::rejected);
+  ++(in_time ? guard_.counters().served : guard_.counters().failed);
+  count_end(in_time ? RequestEnd::served : RequestEnd::failed);
   return true;
 }
 
