Counter of closed slow readers: its comment says why they are closed now

Cause: found when the diff was read once more; the comment told the earlier rule (too much memory used by unread answers). Change: the comment alone. Result: formatter clean, the program builds; no test was played for it.

--- a/src/guard/counters.h
+++ b/src/guard/counters.h
@@ -18,7 +18,7 @@
   no_place,          ///< new connection closed unread, as no other one could be closed
   no_whole_message,  ///< no complete message arrived in time
   unusable_message,  ///< a message could not be parsed
-  slow_reader,       ///< unread answers used too much memory
+  slow_reader,       ///< the client had stopped reading while memory was short
   program_ends,      ///< closed when the program ended
   count              ///< number of enumerators above
 };
