A message that takes seconds to arrive is heard out, and what is read is answered

Cause: the limit of 2 s ran from a message's first byte (close_as_late), and the phase that follows, `ending`, read requests and dropped them. It also ended 2 s after the last request whether or not the client read. A malformed message led there too. At the end of the program a connection with a part of a message was neither waited for nor half-closed. Evidence: the log line "no complete message within 2 s" and client_closed_no_whole_message before each loss, no attempt at any server. Change: the limit is on silence since the last byte; requests read in `ending` are rejected by name; SIGTERM waits for messages that arrive, and clients with unfinished ones are told before the process ends. Instead of time, connections (EvictionRank) and memory (end_slowest_message) bound messages that hardly arrive; their clients are told before. Buffers of large messages do not double.

--- a/src/io/buffer_budget.h
+++ b/src/io/buffer_budget.h
@@ -84,7 +84,7 @@
   BufferBudget& operator=(const BufferBudget&) = delete;
 
   /// Counts bytes that were buffered.
-  void add(std::size_t bytes) { buffered_ += bytes; }
+  void add(std::size_t bytes);
   /// Counts bytes that are not buffered any more, and grants requests that now fit.
   void remove(std::size_t bytes);
   /// Like add(), for bytes that wait to be sent.
@@ -99,10 +99,13 @@
   std::size_t buffered() const { return buffered_; }
   /// Whether a reservation waits for memory.
   bool is_short() const { return !queue_.empty(); }
-  /// Awaits the next request that cannot be granted at once. For one task.
+  /// Whether little memory is free.
+  bool is_nearly_full() const { return free_bytes() < limit_ / kNearlyFullParts; }
+  /// Awaits the next request that cannot be granted at once, or that little memory is free. For one task.
   Event::Awaiter shortage() { return shortage_.wait(); }
 
  private:
+  static constexpr std::size_t kNearlyFullParts = 4;  // nearly full: less than one part in so many is free
   bool fits(std::size_t bytes) const;
   void grant_waiting();
 
--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -1,9 +1,11 @@
 #include "io/stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/un.h>
@@ -189,8 +191,7 @@
   return ::poll(&end, 1, 0) > 0;
 }
 
-bool Stream::has_unread() const {
-  if (in_from_ < in_.size()) return true;
+bool Stream::has_input() const {
   char next = 0;
   return !broken_ && ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
@@ -303,6 +304,12 @@
   drained_at_ = kNoTime;
 }
 
+std::size_t Stream::unacknowledged() const {
+  int in_kernel = 0;
+  if (broken_ || ::ioctl(fd_.get(), SIOCOUTQ, &in_kernel) != 0) in_kernel = 0;
+  return unsent() + static_cast<std::size_t>(in_kernel);
+}
+
 void Stream::retry_flush() {
   blocked_ = false;
   flush();
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -101,7 +101,9 @@
   /// Whether the peer has closed its side, even if bytes from before are still unread.
   bool ended() const;
   /// Whether bytes were received that have not been consumed, here or in the kernel.
-  bool has_unread() const;
+  bool has_unread() const { return !in().empty() || has_input(); }
+  /// Whether the kernel has received bytes that were not read yet.
+  bool has_input() const;
   /// The bytes that were read and not consumed yet.
   std::string_view in() const { return {in_.data() + in_from_, in_.size() - in_from_}; }
   /// Removes bytes from the front of in().
@@ -119,6 +121,9 @@
   std::uint64_t flushed() const { return flushed_; }  ///< of these, bytes that the kernel accepted
   /// Bytes that were written and that the kernel has not accepted yet.
   std::size_t unsent() const { return written_ - flushed_; }
+  /// Bytes that were written and that the peer's machine has not acknowledged, those in the kernel's buffer
+  /// included. Closing the socket may discard them.
+  std::size_t unacknowledged() const;
   /// Tries to pass on output that the kernel has refused so far, without waiting until it reports room.
   void retry_flush();
   /// Since when the kernel has accepted nothing although bytes are unsent; kNoTime: nothing is unsent.
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-// Time for the client to read its remaining answers after its last request has ended.
-constexpr Seconds kUnreadTimeout = 2;
+// Time in which a client reads some of its answers if it reads at all. Clients that read slowly are seen to
+// read within this time, in steps of some ten kilobytes.
+constexpr Seconds kStallTimeout = 2;
 
 }  // namespace
 
@@ -39,52 +40,87 @@
           .backlog_taken = backlog.bytes};
 }
 
-// Whether the client has read nothing for a while although answers wait for it. Clients that read slowly are
-// seen to read within this time, in steps of some ten kilobytes.
+// Whether the client has read nothing for a while although answers wait for it.
 bool ClientConnection::has_stalled() const {
-  constexpr Seconds kStallTimeout = 2;
   return scheduler_.now() >= stream_.stalled_since() + kStallTimeout;
 }
 
+// The same for answers that the kernel has accepted, which is seen only by calling this repeatedly.
+bool ClientConnection::has_stopped_reading() {
+  const auto pending = stream_.unacknowledged();
+  if (pending < unacknowledged_ || acknowledged_at_ >= kNoTime) acknowledged_at_ = scheduler_.now();
+  unacknowledged_ = pending;
+  return pending > 0 && scheduler_.now() >= acknowledged_at_ + kStallTimeout;
+}
+
+// While a connection is ending, each message that is read adds an answer. Its messages are left with the
+// kernel while the client does not read those.
+bool ClientConnection::may_read() const {
+  constexpr std::size_t kMaxUnsentBytes = std::size_t{64} * 1024;  // thousands of rejections
+  return phase_ != Phase::ending || stream_.unsent() <= kMaxUnsentBytes;
+}
+
 // Starts an orderly close. To close a socket that has unread bytes would reset the connection, and the client
 // could lose the last answers that were sent to it.
 void ClientConnection::begin_end() {
   if (!is_open()) return;
   phase_ = Phase::ending;
-  postpone_close();
   stream_.wake();
 }
 
-void ClientConnection::postpone_close() { close_at_ = scheduler_.now() + kUnreadTimeout; }
-
 void ClientConnection::connected() {
   last_received_at_ = scheduler_.now();
-  message_started_at_ = last_received_at_;
+  message_.begin(last_received_at_);
 }
 
 void ClientConnection::message_taken() {
   has_sent_message_ = true;
   last_received_at_ = scheduler_.now();
+  message_.finish();
 }
 
-void ClientConnection::update_message_start() {
-  if (has_sent_message_ && stream_.in().empty())
-    message_started_at_ = kNoTime;
-  else if (message_started_at_ == kNoTime)
-    message_started_at_ = scheduler_.now();
-  else
-    message_started_at_ = std::max(message_started_at_, last_received_at_);
+void ClientConnection::input_taken(std::size_t bytes_received) {
+  if (!has_partial_message()) return;
+  message_.received(std::min(bytes_received, stream_.in().size()), scheduler_.now());
+  // A buffer that grows with each part would take up to twice the size of the message.
+  stream_.expect(stream_.in().size() + missing_resp_bytes(stream_.in()));
+}
+
+// Whether a message is awaited of which nothing has come for a while.
+bool ClientConnection::is_silent() const {
+  return scheduler_.now() >= message_.last_received_at() + kSilenceTimeout;
+}
+
+// Whether a message has been arriving for a while, so slowly that it can be given up for other clients. A
+// request without a body has some hundred bytes and takes ten seconds at this rate.
+bool ClientConnection::is_dripping() const {
+  constexpr double kMinBytesPerSecond = 10;
+  return has_partial_message() && message_.age(scheduler_.now()) >= kSilenceTimeout &&
+         message_.rate(scheduler_.now()) < kMinBytesPerSecond;
+}
+
+bool ClientConnection::awaits_rest_of_message() const {
+  return is_open() && has_partial_message() && !is_silent() && !is_dripping();
 }
 
-bool ClientConnection::message_is_late() const {
-  return scheduler_.now() >= message_started_at_ + kMessageTimeout;
+// nullopt: the next bytes are probably in transit.
+std::optional<EvictionRank> ClientConnection::eviction_rank() const {
+  constexpr Seconds kTransitTime = 0.2;  // of the first request, and between the parts of a message
+  using Kind = EvictionRank::Kind;
+  const Seconds now = scheduler_.now();
+  if (has_partial_message()) {
+    if (message_.age(now) < kTransitTime) return std::nullopt;
+    return EvictionRank{is_dripping() ? Kind::dripping : Kind::incomplete, message_.rate(now)};
+  }
+  const bool nothing_sent = !has_sent_message_ && last_received_at_ <= now - kTransitTime;
+  return EvictionRank{nothing_sent ? Kind::nothing_sent : Kind::idle, idle_since()};
 }
 
 Seconds ClientConnection::read_deadline() const {
-  constexpr Seconds kPollInterval = 0.1;  // while requests are deferred or a message is late
-  const bool late = message_is_late();
-  const Seconds poll_at = late || !deferred_.empty() ? scheduler_.now() + kPollInterval : kNoTime;
-  return late ? poll_at : std::min(message_started_at_ + kMessageTimeout, poll_at);
+  constexpr Seconds kPollInterval = 0.1;  // while requests are deferred or a message is overdue
+  const bool silent = is_silent();
+  const Seconds poll_at = silent || !deferred_.empty() ? scheduler_.now() + kPollInterval : kNoTime;
+  return silent ? poll_at : std::min(message_.last_received_at() + kSilenceTimeout, poll_at);
 }
 
 void ClientConnection::notify_client_left() {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -16,20 +17,39 @@
 #include "io/scheduler.h"
 #include "io/stream.h"
 #include "net/client_request.h"
+#include "net/message_progress.h"
 #include "routing/output_admission.h"
 
 namespace walkpaddle::net {
 
 class RequestHandle;
 
+/// Which connection is given up first when there are too many: the lowest rank.
+struct EvictionRank {
+  /// Least harm first. A client that sends one request and stays connected, connects and sends nothing, or
+  /// sends a message that hardly arrives, must not use up all connections.
+  enum class Kind {
+    nothing_sent,  ///< nothing was received for longer than a first request is in transit
+    dripping,      ///< a message that hardly arrives
+    idle,          ///< between messages; the one that has been idle longest goes first
+    incomplete     ///< a message that is arriving; the slowest goes first
+  };
+  Kind kind = Kind::idle;  ///< decides first
+  double order = 0;  ///< within the kind: when it became idle, in seconds, or the rate in bytes per second
+  auto operator<=>(const EvictionRank&) const = default;
+};
+
 /// One client connection. Its phases:
 ///
-///     open -> ending -> half_closed   no new requests are accepted, the accepted ones are answered, and then
-///                                     the write side is shut down
+///     open -> ending -> half_closed   new requests are rejected, the accepted ones are answered, and once
+///     the
+///                                     client's machine has acknowledged all answers, the write side is shut
+///                                     down
 ///     open -> half_closed             the same for a connection without outstanding answers
 ///
-/// Requests that arrive on a half-closed connection were sent before the client saw its end. They are read
-/// and discarded until the client closes its side or a time limit has passed.
+/// So each request that is read before the write side is shut down has its answer. Requests that arrive on a
+/// half-closed connection were sent before the client saw its end. They are read and discarded until the
+/// client closes its side or a time limit has passed.
 class ClientConnection {
  public:
   /// Takes over an accepted socket. The references must outlive the connection.
@@ -52,25 +72,31 @@
   friend class ClientListener;
   friend class ClientMessages;
   enum class Phase { open, ending, half_closed };
-  // Time limit for the first message, and for the rest of a message that has begun. It leaves room for the
+  // Time limit for the first byte, and between two bytes of a message that has begun. It leaves room for the
   // few round trips that ordinary clients need.
-  static constexpr Seconds kMessageTimeout = 2;
+  static constexpr Seconds kSilenceTimeout = 2;
 
   bool is_open() const { return phase_ == Phase::open; }
   // Number of the client's open and deferred requests.
   std::size_t requests() const { return open_.size() + deferred_.size(); }
   bool awaits_answers() const { return requests() > 0; }
-  bool idle() const { return !awaits_answers() && stream_.unsent() == 0; }
+  bool is_answered() const { return !awaits_answers() && stream_.unsent() == 0; }
+  bool idle() const { return is_answered(); }
+  bool has_partial_message() const { return !stream_.in().empty(); }
   Seconds idle_since() const { return std::max(last_received_at_, last_answered_at_); }
   bool has_tag(const std::string& tag) const;
   routing::ClientOutput output() const;
   bool has_stalled() const;
+  bool has_stopped_reading();
+  bool may_read() const;
   void begin_end();
-  void postpone_close();
   void connected();
   void message_taken();
-  void update_message_start();
-  bool message_is_late() const;
+  void input_taken(std::size_t bytes_received);
+  bool is_silent() const;
+  bool is_dripping() const;
+  bool awaits_rest_of_message() const;
+  std::optional<EvictionRank> eviction_rank() const;
   Seconds read_deadline() const;
   void notify_client_left();
 
@@ -81,12 +107,15 @@
   std::deque<Request> deferred_;   // wait until the client has read more answers, oldest first
   bool has_sent_message_ = false;  // at least one whole message was received
   Phase phase_ = Phase::open;
-  Seconds close_at_ = 0;            // when an ending or half-closed connection is closed
-  bool slow_reader_ = false;        // the connection was closed because the client had stopped reading
-  Seconds max_accept_delay_ = 0;    // longest time that unread messages may have waited before the accept
-  Seconds last_received_at_ = 0;    // when the client connected or last completed a message
-  Seconds last_answered_at_ = 0;    // when an answer was last written
-  Seconds message_started_at_ = 0;  // start of the time limit for the current message; kNoTime: no message
+  Seconds close_at_ = 0;               // when a half-closed connection is closed
+  bool slow_reader_ = false;           // the connection was closed because the client had stopped reading
+  bool framing_lost_ = false;          // bytes were received that are no message: what follows cannot be read
+  Seconds max_accept_delay_ = 0;       // longest time that unread messages may have waited before the accept
+  Seconds last_received_at_ = 0;       // when the client connected or last completed a message
+  Seconds last_answered_at_ = 0;       // when an answer was last written
+  MessageProgress message_;            // the first message, or one of which a part was received
+  std::size_t unacknowledged_ = 0;     // at the last call of has_stopped_reading()
+  Seconds acknowledged_at_ = kNoTime;  // when less was unacknowledged than before; kNoTime: never seen
 };
 
 }  // namespace walkpaddle::net
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "net/request_dispatcher.h"
 
@@ -49,7 +51,7 @@
       messages_(scheduler, outbox.budget(), log, std::move(classes), std::move(serve)),
       listener_(scheduler, std::move(listener)) {
   scheduler_.start(accept_all());
-  scheduler_.start(close_stalled_clients());
+  scheduler_.start(relieve_memory());
 }
 
 void ClientListener::set_guard(guard::Guard& guard) {
@@ -77,7 +79,7 @@
       accept_failing_since_ = std::min(accept_failing_since_, scheduler_.now());
       log_("accept", "cannot accept a connection: {}; {} clients connected", std::strerror(error),
            connections_.size());
-      if (error == EMFILE || error == ENFILE) evict_idle_client();
+      if (error == EMFILE || error == ENFILE) evict_client();
       co_await listener_.input_ready.wait(scheduler_.now() + kPause);
       continue;
     }
@@ -89,7 +91,7 @@
 void ClientListener::accepted(Fd socket) {
   // About one of the largest answers; without the limit the kernel's buffer would grow to megabytes.
   constexpr int kKernelBufferBytes = 256 * 1024;
-  if (connections_.size() - closing_ >= max_connections_ && !evict_idle_client()) {
+  if (connections_.size() - closing_ >= max_connections_ && !evict_client()) {
     count_close(guard::ClientClose::no_place);  // none can be evicted: the new connection is closed at once
     return;
   }
@@ -100,41 +102,41 @@
   scheduler_.start_isolated(run_connection(std::move(client)));
 }
 
-// Half-closes an idle connection at the connection limit: first those without any message so far, then the
-// one that has been idle longest. This keeps clients that send one request and stay connected, or connect by
-// the hundred and send nothing, from using up all connections. Connections with open requests or unread bytes
-// stay, so that no request is lost that arrived while this process was stopped. At most kMaxClosing
+// Half-closes a connection at the connection limit, by EvictionRank. Connections with answers that are due or
+// that their client still reads stay, so that no answer is lost. So do those with bytes that were not read
+// yet, so that no request is lost that arrived while this process was stopped. At most kMaxClosing
 // connections remain half-closed beyond the limit; past that the oldest of them is closed.
-bool ClientListener::evict_idle_client() {
-  constexpr Seconds kNewConnectionGrace = 0.2;  // the first request of a new connection may be in transit
-  using Phase = ClientConnection::Phase;
-  const auto rank = [&](const ClientConnection& client) {
-    return std::pair(
-        client.has_sent_message_ || client.last_received_at_ > scheduler_.now() - kNewConnectionGrace,
-        client.idle_since());
-  };
+bool ClientListener::evict_client() {
   ClientConnection* first = nullptr;
-  ClientConnection* oldest_half_closed = nullptr;
+  std::optional<EvictionRank> lowest;
   for (const auto& [client, owner] : connections_) {
-    if (client->is_open() && client->idle() && (first == nullptr || rank(*client) < rank(*first)) &&
-        !client->stream_.has_unread())
-      first = client;
-    if (client->phase_ == Phase::half_closed &&
-        (oldest_half_closed == nullptr || client->close_at_ < oldest_half_closed->close_at_))
-      oldest_half_closed = client;
+    if (!client->is_open() || !client->is_answered()) continue;
+    const auto rank = client->eviction_rank();
+    if (!rank || (lowest && !(*rank < *lowest)) || client->stream_.has_input()) continue;
+    lowest = rank;
+    first = client;
   }
   if (first == nullptr) return false;
-  log_("client", "connection closed to make room for another: idle for {:.1f} s",
-       scheduler_.now() - first->idle_since());
+  log_("client", "connection closed to make room for another: {} for {:.1f} s",
+       first->has_partial_message() ? "message incomplete" : "idle", scheduler_.now() - first->idle_since());
   count_close(guard::ClientClose::made_room);
   half_close(*first);
-  if (closing_ <= kMaxClosing || oldest_half_closed == nullptr) return true;
-  oldest_half_closed->stream_.close();
-  connections_.erase(oldest_half_closed);
-  --closing_;
+  if (closing_ > kMaxClosing) close_oldest_half_closed();
   return true;
 }
 
+void ClientListener::close_oldest_half_closed() {
+  ClientConnection* oldest = nullptr;
+  for (const auto& [client, owner] : connections_)
+    if (client->phase_ == ClientConnection::Phase::half_closed &&
+        (oldest == nullptr || client->close_at_ < oldest->close_at_))
+      oldest = client;
+  if (oldest == nullptr) return;
+  oldest->stream_.close();
+  connections_.erase(oldest);
+  --closing_;
+}
+
 // ---- Connection task. ----------------------------------------------------------------------------------
 
 Task ClientListener::run_connection(std::shared_ptr<ClientConnection> client) {
@@ -144,9 +146,8 @@
   const Registration registration(*this, *client);
   client->connected();
   for (int reads = 0;;) {
-    const auto result = stream.read();
+    const auto result = read(client);
     if (result == Stream::ReadResult::end) break;
-    if (result == Stream::ReadResult::bytes) messages_.take(client);
     if (result == Stream::ReadResult::nothing)
       client->max_accept_delay_ = 0;  // later messages did not wait for the accept
     messages_.serve_deferred(client);
@@ -162,20 +163,43 @@
       co_await stream.readable(scheduler_.now() + kEndPollInterval);
       continue;
     }
-    if (close_as_late(*client)) continue;
+    if (close_if_silent(*client)) continue;
     co_await stream.readable(client->read_deadline());
   }
   connection_ended(*client);
 }
 
-// Closes a connection whose message is overdue. While answers are outstanding it stays open, and the client
-// may complete the message meanwhile.
-bool ClientListener::close_as_late(ClientConnection& client) {
-  client.update_message_start();
-  if (!client.message_is_late() || client.awaits_answers()) return false;
-  log_("client", "connection closed: no complete message within {} s", ClientConnection::kMessageTimeout);
+// Reads once and handles the whole messages that were received.
+Stream::ReadResult ClientListener::read(const std::shared_ptr<ClientConnection>& client) {
+  auto& stream = client->stream_;
+  if (!client->may_read()) {
+    stream.wake_on_output();
+    return stream.broken() ? Stream::ReadResult::end : Stream::ReadResult::nothing;
+  }
+  const auto unread_before = stream.in().size();
+  const auto result = stream.read();
+  if (result != Stream::ReadResult::bytes) return result;
+  const auto bytes_received = stream.in().size() - unread_before;
+  messages_.take(client);
+  client->input_taken(bytes_received);
+  return result;
+}
+
+// Ends a connection on which a message is awaited and nothing arrives. While answers are outstanding, or the
+// client still reads earlier ones, it stays open, and the client may complete the message meanwhile.
+bool ClientListener::close_if_silent(ClientConnection& client) {
+  if (!client.is_silent() || client.awaits_answers()) return false;
+  const bool idle = client.idle();
+  if (!idle && !client.has_stopped_reading()) return false;
+  log_("client", "connection closed: nothing received for {} s and no complete message",
+       ClientConnection::kSilenceTimeout);
   count_close(guard::ClientClose::no_whole_message);
-  client.begin_end();
+  if (idle) {
+    half_close(client);
+  } else {
+    client.begin_end();
+    client.stream_.close();
+  }
   return true;
 }
 
@@ -186,28 +210,61 @@
   client.notify_client_left();
 }
 
-// While answers wait for memory, closes the connections of clients that have stopped reading, so that their
-// unread answers do not keep those of other clients waiting. Clients that read are never closed for that.
-Task ClientListener::close_stalled_clients() {
+// While memory is short, ends connections that hold it and make no progress, until others have some.
+Task ClientListener::relieve_memory() {
   constexpr Seconds kPollInterval = 0.1;
+  auto& budget = outbox_.budget();
   Event poll(scheduler_);
   for (;;) {
-    co_await outbox_.budget().shortage();
-    while (outbox_.budget().is_short()) {
-      for (const auto& [client, owner] : connections_) {
-        if (client->stream_.unsent() == 0) continue;
-        client->stream_.retry_flush();
-        if (client->stream_.broken() || !client->has_stalled()) continue;
-        log_("client", "connection closed: {} bytes unread and nothing read for {:.1f} s, memory is short",
-             client->stream_.unsent(), scheduler_.now() - client->stream_.stalled_since());
-        client->slow_reader_ = true;
-        client->stream_.close();
-      }
+    co_await budget.shortage();
+    while (budget.is_short() || budget.is_nearly_full()) {
+      if (budget.is_short()) close_stalled_clients();
+      end_slowest_message();
       co_await poll.wait(scheduler_.now() + kPollInterval);
     }
   }
 }
 
+// Closes the connections of clients that have stopped reading, so that their unread answers do not keep those
+// of other clients waiting. Clients that read are never closed for that.
+void ClientListener::close_stalled_clients() {
+  for (const auto& [client, owner] : connections_) {
+    if (client->stream_.unsent() == 0) continue;
+    client->stream_.retry_flush();
+    if (client->stream_.broken() || !client->has_stalled()) continue;
+    log_("client", "connection closed: {} bytes unread and nothing read for {:.1f} s, memory is short",
+         client->stream_.unsent(), scheduler_.now() - client->stream_.stalled_since());
+    client->slow_reader_ = true;
+    client->stream_.close();
+  }
+}
+
+// Half-closes connections with unfinished messages, the slowest first, while these take more than their share
+// of the memory.
+void ClientListener::end_slowest_message() {
+  constexpr std::size_t kShare = 2;  // unfinished messages may take one part in so many
+  const auto limit = outbox_.budget().limit() / kShare;
+  const Seconds now = scheduler_.now();
+  std::size_t bytes = 0;
+  std::vector<std::pair<double, ClientConnection*>> by_rate;
+  for (const auto& [client, owner] : connections_) {
+    if (!client->is_open() || !client->has_partial_message()) continue;
+    bytes += client->stream_.in().size();
+    if (client->message_.age(now) >= ClientConnection::kSilenceTimeout && client->idle() &&
+        !client->stream_.has_input())
+      by_rate.emplace_back(client->message_.rate(now), client);
+  }
+  std::ranges::sort(by_rate);
+  for (const auto& [rate, client] : by_rate) {
+    if (bytes <= limit) return;
+    bytes -= client->stream_.in().size();
+    log_("client", "connection closed: {} bytes of a message at {:.0f} bytes/s, memory is short",
+         client->stream_.in().size(), rate);
+    count_close(guard::ClientClose::made_room);
+    half_close(*client);
+  }
+}
+
 // ---- Closing. ------------------------------------------------------------------------------------------
 
 void ClientListener::half_close(ClientConnection& client) {
@@ -226,11 +283,12 @@
 
 // Whether a connection that is no longer open may be closed now. Half-closes it once it is idle.
 bool ClientListener::may_close(ClientConnection& client) {
-  if (client.phase_ == ClientConnection::Phase::ending) {
-    if (client.awaits_answers()) client.postpone_close();
-    if (client.idle()) half_close(client);
+  if (client.phase_ == ClientConnection::Phase::half_closed) return scheduler_.now() >= client.close_at_;
+  if (client.idle()) {
+    half_close(client);
+    return false;
   }
-  return scheduler_.now() >= client.close_at_;
+  return !client.awaits_answers() && client.has_stopped_reading();
 }
 
 void ClientListener::abort_open() {
@@ -249,14 +307,26 @@
   return std::ranges::any_of(connections_, [](const auto& entry) { return !entry.first->idle(); });
 }
 
+bool ClientListener::has_arriving_messages() const {
+  return std::ranges::any_of(connections_,
+                             [](const auto& entry) { return entry.first->awaits_rest_of_message(); });
+}
+
 // A request that arrives on a half-closed connection is never executed, and its client sees the connection
 // end without an answer.
 void ClientListener::close_idle() {
-  for (const auto& [client, owner] : connections_) {
-    if (!client->idle() || client->stream_.has_unread()) continue;
-    if (client->is_open()) count_close(guard::ClientClose::program_ends);
-    half_close(*client);
-  }
+  for (const auto& [client, owner] : connections_)
+    if (!client->has_partial_message() || client->is_dripping()) close_if_idle(*client);
+}
+
+void ClientListener::close_idle_and_unfinished() {
+  for (const auto& [client, owner] : connections_) close_if_idle(*client);
+}
+
+void ClientListener::close_if_idle(ClientConnection& client) {
+  if (!client.is_answered() || client.stream_.has_input() || !client.idle()) return;
+  if (client.is_open()) count_close(guard::ClientClose::program_ends);
+  half_close(client);
 }
 
 }  // namespace walkpaddle::net
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -42,8 +42,11 @@
   void stop_accepting() { listener_.close(); }
   /// Gives up the listening socket, still open, for a successor. New connections wait in its queue meanwhile.
   Fd hand_over_listener() { return listener_.detach(); }
-  /// Half-closes each connection that has no outstanding answers and no unread bytes.
+  /// Half-closes each connection that has no outstanding answers and no unread bytes, or only a message that
+  /// hardly arrives.
   void close_idle();
+  /// The same, also where a part of a message was read: its client is told before the message is complete.
+  void close_idle_and_unfinished();
   /// Requests must be answered by this time, because the program ends then.
   void set_answer_by(Seconds time) { messages_.set_answer_by(time); }
   /// Answers every open and deferred request without serving it, and rejects later ones; for the end of the
@@ -51,18 +54,25 @@
   void abort_open();
   /// Whether any client still has an answer, or a part of one, to receive.
   bool has_unsent_answers() const;
+  /// Whether a message of any client is still arriving.
+  bool has_arriving_messages() const;
   /// Number of connections, half-closed ones included.
   std::size_t count() const { return connections_.size(); }
 
  private:
   class Registration;
   Task accept_all();
-  Task close_stalled_clients();
+  Task relieve_memory();
+  void close_stalled_clients();
+  void end_slowest_message();
   void accepted(Fd socket);
   Task run_connection(std::shared_ptr<ClientConnection> client);
-  bool close_as_late(ClientConnection& client);
+  Stream::ReadResult read(const std::shared_ptr<ClientConnection>& client);
+  bool close_if_silent(ClientConnection& client);
   void connection_ended(ClientConnection& client);
-  bool evict_idle_client();
+  bool evict_client();
+  void close_oldest_half_closed();
+  void close_if_idle(ClientConnection& client);
   void half_close(ClientConnection& client);
   bool may_close(ClientConnection& client);
   void count_close(guard::ClientClose reason);
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -48,22 +48,19 @@
   constexpr std::size_t kMaxBytes = 64UL * 1024;  // the body of a write has up to 48,000 bytes
   auto& stream = client->stream_;
   RespArray message;
-  while (client->phase_ != ClientConnection::Phase::half_closed) {
-    const bool open = client->is_open();
+  while (client->phase_ != ClientConnection::Phase::half_closed && !client->framing_lost_) {
     try {
       read_resp_array(stream.in(), kMaxWords, kMaxBytes, message);
       if (message.used == 0) return;
-      // FORGET is handled in the ending phase too.
-      const bool forgets = !message.words.empty() && message.words[0] == "FORGET";
-      if (open || forgets) handle(client, message.words);
-      if (open) client->message_taken();
+      client->message_taken();
+      handle(client, message.words);
     } catch (const InputError& e) {
-      if (open) {
+      if (client->is_open()) {
         log_("client", "connection closed: malformed message: {}", e.what());
         if (guard_ != nullptr) guard_->counters().closed(guard::ClientClose::unusable_message);
       }
       client->begin_end();
-      if (message.used == 0) break;  // without a valid array the start of the next message is unknown
+      client->framing_lost_ = message.used == 0;  // the start of the next message is unknown
     }
     stream.consume(message.used);
   }
@@ -95,7 +92,8 @@
                              const std::vector<std::string_view>& words, const std::string& tag) {
   constexpr std::size_t kMaxOpenRequests = 32;
   if (client->has_tag(tag)) throw_bad_value("tag (already open)", tag);
-  if (client->requests() >= kMaxOpenRequests) throw_bad_value("tag (too many open requests)", tag);
+  if (client->is_open() && client->requests() >= kMaxOpenRequests)
+    throw_bad_value("tag (too many open requests)", tag);
   // The client's time limit runs from when it sent the request, which may have waited before it was read.
   const Seconds sent_at =
       scheduler_.now() - std::max(scheduler_.max_input_delay(), client->max_accept_delay_);
@@ -106,7 +104,7 @@
     log_("request", "malformed request: {}", e.what());
     return client->answer(tag, "ABORTED");
   }
-  if (stopped_) return client->answer(tag, "REJECT");  // no attempt was started
+  if (stopped_ || !client->is_open()) return client->answer(tag, "REJECT");  // no attempt was started
   if (request.body.size() > budget_.free_bytes()) return reject(*client, request);
   request.body_memory = BufferBudget::Lease(budget_, request.body.size());
   client->deferred_.push_back(std::move(request));
--- a/src/net/client_messages.h
+++ b/src/net/client_messages.h
@@ -42,7 +42,8 @@
   void set_alive_reply(std::string_view reply) { alive_reply_ = reply; }
   /// From now on new requests are rejected and deferred ones are not started.
   void stop() { stopped_ = true; }
-  /// Handles all whole messages that were received on a connection. A malformed message ends the connection.
+  /// Handles all whole messages that were received on a connection. A malformed message ends the connection:
+  /// requests behind it are rejected.
   void take(const std::shared_ptr<ClientConnection>& client);
   /// Starts or rejects those deferred requests that need not wait any longer.
   void serve_deferred(const std::shared_ptr<ClientConnection>& client);
--- a/src/server/lifecycle.cpp
+++ b/src/server/lifecycle.cpp
@@ -76,18 +76,25 @@
 
   enter(Phase::stopped);
   stop_answering();
-  // Requests that still arrive are read but not forwarded: closing a socket with unread bytes would reset the
-  // connection, and the client would lose the last answers sent to it.
+  scheduler.start(end_connections());
+}
+
+// Ends the connections and the program. Requests that still arrive are read but not forwarded: closing a
+// socket with unread bytes would reset the connection, and the client would lose the last answers sent to it.
+Task Lifecycle::end_connections() {
+  auto& scheduler = parts_.scheduler;
+  Event poll(scheduler);
   const Seconds end = scheduler.now() + kLateRequestPeriod;
   do {
     co_await poll.wait(scheduler.now() + kLateRequestPollInterval);
-    parts_.client_listener.close_idle();
+    parts_.client_listener.close_idle_and_unfinished();
   } while (scheduler.now() < end && parts_.client_listener.count() > 0);
   scheduler.stop();
 }
 
 bool Lifecycle::answers_pending() const {
-  return parts_.dispatcher.open_requests() > 0 || parts_.client_listener.has_unsent_answers();
+  return parts_.dispatcher.open_requests() > 0 || parts_.client_listener.has_unsent_answers() ||
+         parts_.client_listener.has_arriving_messages();
 }
 
 Seconds Lifecycle::drain_limit() const {
@@ -102,7 +109,7 @@
 }
 
 // New connections queue at the listener for the successor. Open connections are closed when no request is
-// open on them, and all of them after the longest deadline.
+// open or arriving on them, and all of them after the longest deadline.
 Task Lifecycle::hand_over(RolloutControl& rollouts) {
   enter(Phase::handing_over);
   auto& scheduler = parts_.scheduler;
@@ -117,10 +124,7 @@
   } while (scheduler.now() < end && (clients.count() > 0 || parts_.dispatcher.open_requests() > 0));
   parts_.warm_start.write_file();
   clients.abort_open();
-  co_await poll.wait(scheduler.now() + kHandOverPollInterval);
-  clients.close_idle();
-  co_await poll.wait(scheduler.now() + kHandOverPollInterval);
-  scheduler.stop();
+  scheduler.start(end_connections());
 }
 
 void Lifecycle::enter(Phase phase) {
--- a/src/server/lifecycle.h
+++ b/src/server/lifecycle.h
@@ -112,6 +112,7 @@
   Task run(RolloutControl& rollouts);
   Task shut_down();
   Task hand_over(RolloutControl& rollouts);
+  Task end_connections();
   void load_initial_state();
   void enter(Phase phase);
   bool answers_pending() const;
--- a/tests/connection_races.cpp
+++ b/tests/connection_races.cpp
@@ -605,6 +605,85 @@
   });
 }
 
+// Prevents that messages which hardly arrive keep others from connecting, or are given up after others.
+TEST_CASE(
+    "given messages that arrive byte by byte on all connections, when others connect, then these are served, "
+    "and so is a slow message") {
+  ClientFixture s;
+  s.serve = [&](std::shared_ptr<ClientConnection> client, Request request) {
+    ++s.served;
+    client->answer(request.tag, "RESULT", "etag=1", "one");
+  };
+  s.run_scenario([&]() -> Task {
+    const std::string message = s.exec_command(1);
+    const auto answer = resp_array_text({"1", "RESULT", "etag=1", "one"});
+    std::vector<Fd> dripping;
+    for (int n = 0; n < 7; ++n) dripping.push_back(s.connect());
+    const Fd slow = s.connect();
+    const Seconds began = s.scheduler.now();
+    std::size_t slow_sent = 0;
+    int served = 0;
+    // The slow message takes 4 s, the others a second for each byte. New clients come in the last second.
+    for (int step = 0; step < 40; ++step) {
+      for (const auto& fd : dripping)
+        if (step % 10 == 0) ::send(fd.get(), message.data() + step / 10, 1, MSG_NOSIGNAL);
+      const auto due = message.size() * static_cast<std::size_t>(step + 1) / 40;
+      send_all(slow, message.substr(slow_sent, due - slow_sent));
+      slow_sent = due;
+      co_await s.timer.wait(began + 0.1 * (step + 1));
+      if (step < 30 || step >= 37) continue;
+      const Fd c = s.connect();
+      send_all(c, message);
+      co_await s.timer.wait(s.scheduler.now() + 0.05);
+      served += read_available(c) == answer;
+    }
+    CHECK(served == 7);
+    std::string got;
+    WAIT_UNTIL((got += read_available(slow)).size() >= answer.size());
+    CHECK(got == answer);
+    int told = 0;
+    for (const auto& fd : dripping) told += read_available(fd) == "|";
+    CHECK(told >= 1);
+    s.scheduler.stop();
+  });
+}
+
+// Prevents that a hand-over or a shutdown cuts off a message that is arriving, or reads it to its end without
+// having told the client.
+TEST_CASE(
+    "given a message that is arriving, when connections are closed, then it is served or its client told") {
+  ClientFixture s;
+  s.serve = [&](std::shared_ptr<ClientConnection> client, Request request) {
+    ++s.served;
+    client->answer(request.tag, "RESULT", "etag=1", "one");
+  };
+  s.run_scenario([&]() -> Task {
+    const std::string message = s.exec_command(1);
+    const auto half = message.size() / 2;
+    const Fd first = s.connect(), second = s.connect();
+    send_all(first, message.substr(0, half));
+    send_all(second, message.substr(0, half));
+    for (int n = 0; n < 50; ++n) {
+      co_await s.timer.wait(s.scheduler.now() + 0.01);
+      s.clients.close_idle();
+    }
+    CHECK(s.clients.has_arriving_messages());
+    send_all(first, message.substr(half));
+    std::string got;
+    const auto answer = resp_array_text({"1", "RESULT", "etag=1", "one"});
+    WAIT_UNTIL((got += read_available(first)).size() >= answer.size());
+    CHECK(got.starts_with(answer));
+    s.clients.close_idle_and_unfinished();
+    got.clear();
+    WAIT_UNTIL((got += read_available(second)).ends_with("|"));
+    send_all(second, message.substr(half));
+    co_await s.timer.wait(s.scheduler.now() + 0.1);
+    CHECK(s.served == 1);
+    CHECK_FALSE(s.clients.has_arriving_messages());
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given a client with an unread request, when a client has to be evicted, then it is another one") {
   ClientFixture s;
   s.serve = [&](std::shared_ptr<ClientConnection> client, Request request) {
