A connection ends only after the client's machine has acknowledged all answers

Cause: idle() counted the program's own buffer only; up to 512 KB more are in the kernel's when the write side is shut down, and the close 60 ms later, over a client that still writes, discards them. Change: idle() asks the kernel too (SIOCOUTQ), for malformed and silent messages, evictions, shutdown and hand-over. A client that has taken nothing for 2 s doesn't count, so that it keeps no connection from others.

--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -81,7 +81,8 @@
   std::size_t requests() const { return open_.size() + deferred_.size(); }
   bool awaits_answers() const { return requests() > 0; }
   bool is_answered() const { return !awaits_answers() && stream_.unsent() == 0; }
-  bool idle() const { return is_answered(); }
+  // Whether the client has all its answers, as far as its machine tells.
+  bool idle() const { return is_answered() && stream_.unacknowledged() == 0; }
   bool has_partial_message() const { return !stream_.in().empty(); }
   Seconds idle_since() const { return std::max(last_received_at_, last_answered_at_); }
   bool has_tag(const std::string& tag) const;
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -113,6 +113,7 @@
     if (!client->is_open() || !client->is_answered()) continue;
     const auto rank = client->eviction_rank();
     if (!rank || (lowest && !(*rank < *lowest)) || client->stream_.has_input()) continue;
+    if (!client->idle() && !client->has_stopped_reading()) continue;
     lowest = rank;
     first = client;
   }
