Half-close once all answers are sent, close once they are acknowledged; an end has a bound

Now the half-close waits for what the kernel has not sent (SIOCOUTQNSD), the close for acknowledgements (SIOCOUTQ).

--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -304,9 +304,14 @@
   drained_at_ = kNoTime;
 }
 
-std::size_t Stream::unacknowledged() const {
+std::size_t Stream::queued() const { return unsent_with(SIOCOUTQNSD); }
+
+std::size_t Stream::unacknowledged() const { return unsent_with(SIOCOUTQ); }
+
+// Adds one of the kernel's counts of output, named by its ioctl request, to the bytes that are unsent here.
+std::size_t Stream::unsent_with(unsigned long kernel_count) const {
   int in_kernel = 0;
-  if (broken_ || ::ioctl(fd_.get(), SIOCOUTQ, &in_kernel) != 0) in_kernel = 0;
+  if (broken_ || ::ioctl(fd_.get(), kernel_count, &in_kernel) != 0) in_kernel = 0;
   return unsent() + static_cast<std::size_t>(in_kernel);
 }
 
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -121,8 +121,9 @@
   std::uint64_t flushed() const { return flushed_; }  ///< of these, bytes that the kernel accepted
   /// Bytes that were written and that the kernel has not accepted yet.
   std::size_t unsent() const { return written_ - flushed_; }
-  /// Bytes that were written and that the peer's machine has not acknowledged, those in the kernel's buffer
-  /// included. Closing the socket may discard them.
+  /// Bytes that were written and not sent to the peer's machine yet, those in the kernel's buffer included.
+  std::size_t queued() const;
+  /// The same and those that the peer's machine has not acknowledged. Closing the socket may discard them.
   std::size_t unacknowledged() const;
   /// Tries to pass on output that the kernel has refused so far, without waiting until it reports room.
   void retry_flush();
@@ -163,6 +164,7 @@
   void on_ready(std::uint32_t epoll_events) override;
   void output_accepted(std::size_t bytes);
   void update_backlog();
+  std::size_t unsent_with(unsigned long kernel_count) const;
 
   Scheduler& scheduler_;
   Outbox& outbox_;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -53,11 +53,10 @@
   return pending > 0 && scheduler_.now() >= acknowledged_at_ + kStallTimeout;
 }
 
-// While a connection is ending, each message that is read adds an answer. Its messages are left with the
-// kernel while the client does not read those.
+// A client may have written so many requests before it learns of the end. Further messages are left with the
+// kernel, so that a client that goes on writing, or reads none of its answers, comes to its end too.
 bool ClientConnection::may_read() const {
-  constexpr std::size_t kMaxUnsentBytes = std::size_t{64} * 1024;  // thousands of rejections
-  return phase_ != Phase::ending || stream_.unsent() <= kMaxUnsentBytes;
+  return phase_ != Phase::ending || messages_while_ending_ < kMaxOpenRequests;
 }
 
 // Starts an orderly close. To close a socket that has unread bytes would reset the connection, and the client
@@ -76,6 +75,7 @@
 void ClientConnection::message_taken() {
   has_sent_message_ = true;
   last_received_at_ = scheduler_.now();
+  if (phase_ == Phase::ending) ++messages_while_ending_;
   message_.finish();
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -42,14 +42,12 @@
 /// One client connection. Its phases:
 ///
 ///     open -> ending -> half_closed   new requests are rejected, the accepted ones are answered, and once
-///     the
-///                                     client's machine has acknowledged all answers, the write side is shut
-///                                     down
+///                                     all answers are sent, the write side is shut down
 ///     open -> half_closed             the same for a connection without outstanding answers
 ///
 /// So each request that is read before the write side is shut down has its answer. Requests that arrive on a
 /// half-closed connection were sent before the client saw its end. They are read and discarded until the
-/// client closes its side or a time limit has passed.
+/// client closes its side, or a time limit has passed and its machine has acknowledged all answers.
 class ClientConnection {
  public:
   /// Takes over an accepted socket. The references must outlive the connection.
@@ -75,14 +73,17 @@
   // Time limit for the first byte, and between two bytes of a message that has begun. It leaves room for the
   // few round trips that ordinary clients need.
   static constexpr Seconds kSilenceTimeout = 2;
+  static constexpr std::size_t kMaxOpenRequests = 32;  // protocol page
 
   bool is_open() const { return phase_ == Phase::open; }
   // Number of the client's open and deferred requests.
   std::size_t requests() const { return open_.size() + deferred_.size(); }
   bool awaits_answers() const { return requests() > 0; }
   bool is_answered() const { return !awaits_answers() && stream_.unsent() == 0; }
-  // Whether the client has all its answers, as far as its machine tells.
-  bool idle() const { return is_answered() && stream_.unacknowledged() == 0; }
+  // Whether all answers are sent. Their acknowledgements may come only with the client's next request.
+  bool idle() const { return is_answered() && stream_.queued() == 0; }
+  // The same, or the client has stopped taking them.
+  bool is_finished() { return is_answered() && (idle() || has_stopped_reading()); }
   bool has_partial_message() const { return !stream_.in().empty(); }
   Seconds idle_since() const { return std::max(last_received_at_, last_answered_at_); }
   bool has_tag(const std::string& tag) const;
@@ -108,8 +109,9 @@
   std::deque<Request> deferred_;   // wait until the client has read more answers, oldest first
   bool has_sent_message_ = false;  // at least one whole message was received
   Phase phase_ = Phase::open;
-  Seconds close_at_ = 0;               // when a half-closed connection is closed
-  bool slow_reader_ = false;           // the connection was closed because the client had stopped reading
+  Seconds close_at_ = 0;                   // when a half-closed connection is closed, at the earliest
+  bool slow_reader_ = false;               // the connection was closed because the client had stopped reading
+  std::size_t messages_while_ending_ = 0;  // whole messages that were read in the phase `ending`
   bool framing_lost_ = false;          // bytes were received that are no message: what follows cannot be read
   Seconds max_accept_delay_ = 0;       // longest time that unread messages may have waited before the accept
   Seconds last_received_at_ = 0;       // when the client connected or last completed a message
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -113,7 +113,7 @@
     if (!client->is_open() || !client->is_answered()) continue;
     const auto rank = client->eviction_rank();
     if (!rank || (lowest && !(*rank < *lowest)) || client->stream_.has_input()) continue;
-    if (!client->idle() && !client->has_stopped_reading()) continue;
+    if (!client->is_finished()) continue;
     lowest = rank;
     first = client;
   }
@@ -173,10 +173,7 @@
 // Reads once and handles the whole messages that were received.
 Stream::ReadResult ClientListener::read(const std::shared_ptr<ClientConnection>& client) {
   auto& stream = client->stream_;
-  if (!client->may_read()) {
-    stream.wake_on_output();
-    return stream.broken() ? Stream::ReadResult::end : Stream::ReadResult::nothing;
-  }
+  if (!client->may_read()) return stream.broken() ? Stream::ReadResult::end : Stream::ReadResult::nothing;
   const auto unread_before = stream.in().size();
   const auto result = stream.read();
   if (result != Stream::ReadResult::bytes) return result;
@@ -284,7 +281,9 @@
 
 // Whether a connection that is no longer open may be closed now. Half-closes it once it is idle.
 bool ClientListener::may_close(ClientConnection& client) {
-  if (client.phase_ == ClientConnection::Phase::half_closed) return scheduler_.now() >= client.close_at_;
+  if (client.phase_ == ClientConnection::Phase::half_closed)
+    return scheduler_.now() >= client.close_at_ &&
+           (client.stream_.unacknowledged() == 0 || client.has_stopped_reading());
   if (client.idle()) {
     half_close(client);
     return false;
@@ -305,7 +304,7 @@
 }
 
 bool ClientListener::has_unsent_answers() const {
-  return std::ranges::any_of(connections_, [](const auto& entry) { return !entry.first->idle(); });
+  return std::ranges::any_of(connections_, [](const auto& entry) { return !entry.first->is_finished(); });
 }
 
 bool ClientListener::has_arriving_messages() const {
@@ -325,7 +324,7 @@
 }
 
 void ClientListener::close_if_idle(ClientConnection& client) {
-  if (!client.is_answered() || client.stream_.has_input() || !client.idle()) return;
+  if (!client.is_answered() || client.stream_.has_input() || !client.is_finished()) return;
   if (client.is_open()) count_close(guard::ClientClose::program_ends);
   half_close(client);
 }
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -90,9 +90,8 @@
 
 void ClientMessages::execute(const std::shared_ptr<ClientConnection>& client,
                              const std::vector<std::string_view>& words, const std::string& tag) {
-  constexpr std::size_t kMaxOpenRequests = 32;
   if (client->has_tag(tag)) throw_bad_value("tag (already open)", tag);
-  if (client->is_open() && client->requests() >= kMaxOpenRequests)
+  if (client->is_open() && client->requests() >= ClientConnection::kMaxOpenRequests)
     throw_bad_value("tag (too many open requests)", tag);
   // The client's time limit runs from when it sent the request, which may have waited before it was read.
   const Seconds sent_at =
--- a/tests/connection_races.cpp
+++ b/tests/connection_races.cpp
@@ -709,6 +709,29 @@
   });
 }
 
+// Prevents that a client keeps a connection which is ending by writing on and on.
+TEST_CASE("given a malformed message, when its client goes on sending requests, then the connection ends") {
+  ClientFixture s;
+  s.run_scenario([&]() -> Task {
+    const Fd c = s.connect();
+    send_all(c, resp_array_text({"NONSENSE", "1", ""}));
+    std::string got;
+    const Seconds since = s.scheduler.now();
+    for (int n = 2; s.scheduler.now() < since + 2 && !got.ends_with("|");) {
+      for (int more = 0; more < 20; ++more) {
+        const auto message = s.exec_command(n++);
+        ::send(c.get(), message.data(), message.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      }
+      got += read_available(c);
+      co_await s.timer.wait(s.scheduler.now());
+    }
+    CHECK(got.ends_with("|"));
+    CHECK(got.starts_with(resp_array_text({"2", "REJECT"})));
+    CHECK(s.served == 0);
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given a client with an unread request, when a client has to be evicted, then it is another one") {
   ClientFixture s;
   s.serve = [&](std::shared_ptr<ClientConnection> client, Request request) {
