--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -36,6 +36,7 @@
   };
   Kind kind = Kind::idle;  ///< decides first
   double order = 0;  ///< within the kind: when it became idle, in seconds, or the rate in bytes per second
+  /// By kind, then by order.
   auto operator<=>(const EvictionRank&) const = default;
 };
 
