A client counts as stalled only if nothing was acknowledged between two samples

Found on rereading: has_stopped_reading() compared the pending bytes of two samples at any times, so that a client which had taken all answers since an old sample, and had more pending now, counted as stalled at once: its connection could be closed over answers that it reads. What counts now are the bytes acknowledged in all (AcknowledgementProgress). Unit test for samples far apart; the fault was not forced over sockets.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -47,10 +47,8 @@
 
 // The same for answers that the kernel has accepted, which is seen only by calling this repeatedly.
 bool ClientConnection::has_stopped_reading() {
-  const auto pending = stream_.unacknowledged();
-  if (pending < unacknowledged_ || acknowledged_at_ >= kNoTime) acknowledged_at_ = scheduler_.now();
-  unacknowledged_ = pending;
-  return pending > 0 && scheduler_.now() >= acknowledged_at_ + kStallTimeout;
+  return acknowledgements_.stalled_for(stream_.written(), stream_.unacknowledged(), scheduler_.now()) >=
+         kStallTimeout;
 }
 
 // A client may have written so many requests before it learns of the end. Further messages are left with the
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -16,6 +16,7 @@
 
 #include "io/scheduler.h"
 #include "io/stream.h"
+#include "net/acknowledgement_progress.h"
 #include "net/client_request.h"
 #include "net/message_progress.h"
 #include "routing/output_admission.h"
@@ -113,13 +114,12 @@
   Seconds close_at_ = 0;                   // when a half-closed connection is closed, at the earliest
   bool slow_reader_ = false;               // the connection was closed because the client had stopped reading
   std::size_t messages_while_ending_ = 0;  // whole messages that were read in the phase `ending`
-  bool framing_lost_ = false;          // bytes were received that are no message: what follows cannot be read
-  Seconds max_accept_delay_ = 0;       // longest time that unread messages may have waited before the accept
-  Seconds last_received_at_ = 0;       // when the client connected or last completed a message
-  Seconds last_answered_at_ = 0;       // when an answer was last written
-  MessageProgress message_;            // the first message, or one of which a part was received
-  std::size_t unacknowledged_ = 0;     // at the last call of has_stopped_reading()
-  Seconds acknowledged_at_ = kNoTime;  // when less was unacknowledged than before; kNoTime: never seen
+  bool framing_lost_ = false;     // bytes were received that are no message: what follows cannot be read
+  Seconds max_accept_delay_ = 0;  // longest time that unread messages may have waited before the accept
+  Seconds last_received_at_ = 0;  // when the client connected or last completed a message
+  Seconds last_answered_at_ = 0;  // when an answer was last written
+  MessageProgress message_;       // the first message, or one of which a part was received
+  AcknowledgementProgress acknowledgements_;
 };
 
 }  // namespace walkpaddle::net
