Log what holds the memory while it is high, and why a read request was not started

Change: MemoryMonitor logs resident memory with its uses, and the counters, once a second from three quarters of the limit on; Unstarted names why a request was not started, in log and counters; lines that close a client name its address. Reading /proc/self/statm stands in one place now.

--- a/src/guard/counters.h
+++ b/src/guard/counters.h
@@ -27,6 +27,21 @@
     "by_client",        "made_room",   "no_place",    "no_whole_message",
     "unusable_message", "slow_reader", "program_ends"};
 
+/// Why a request that was read from a client was not started.
+enum class Unstarted {
+  late_answer,      ///< its answer could only come after its deadline, or after the end of the program
+  no_memory,        ///< there was no memory for its body
+  connection_ends,  ///< it was read after the end of its connection had begun
+  count             ///< number of enumerators above
+};
+/// Names of the reasons, by value.
+constexpr std::array<std::string_view, static_cast<std::size_t>(Unstarted::count)> kUnstartedNames = {
+    "late_answer", "no_memory", "connection_ends"};
+/// The name of a reason in the log.
+constexpr std::string_view to_string(Unstarted reason) {
+  return kUnstartedNames[static_cast<std::size_t>(reason)];
+}
+
 /// Why an upstream connection was closed or not established.
 enum class EndpointClose {
   by_endpoint,      ///< closed by the endpoint
@@ -50,6 +65,7 @@
 struct Counters {
   std::array<std::uint64_t, kClientCloseNames.size()> client_closes{};      ///< by ClientClose
   std::array<std::uint64_t, kEndpointCloseNames.size()> endpoint_closes{};  ///< by EndpointClose
+  std::array<std::uint64_t, kUnstartedNames.size()> unstarted{};            ///< by Unstarted
   std::array<std::uint64_t, 10> attempts_ended{};                           ///< by AttemptOutcome
   /// Requests by how they ended; `left`: the client left first.
   std::uint64_t served = 0, shed = 0, failed = 0, left = 0;
@@ -58,6 +74,8 @@
 
   /// Counts a closed client connection.
   void closed(ClientClose why) { ++client_closes[static_cast<std::size_t>(why)]; }
+  /// Counts a request that was not started.
+  void not_started(Unstarted why) { ++unstarted[static_cast<std::size_t>(why)]; }
   /// Counts a closed upstream connection.
   void closed(EndpointClose why) { ++endpoint_closes[static_cast<std::size_t>(why)]; }
 };
--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -237,6 +237,14 @@
   return fd;
 }
 
+Address Stream::peer() const {
+  sockaddr_in a{};
+  socklen_t size = sizeof a;
+  if (::getpeername(fd_.get(), reinterpret_cast<sockaddr*>(&a), &size) != 0 || a.sin_family != AF_INET)
+    return {};
+  return {ntohl(a.sin_addr.s_addr), ntohs(a.sin_port)};
+}
+
 int Stream::error() const {
   int error = 0;
   socklen_t size = sizeof error;
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -112,6 +112,8 @@
   Event::Awaiter readable(Seconds until = kNoTime) { return readable_.wait(until); }
   /// Waits until the socket becomes writable or breaks, until a given time.
   Event::Awaiter writable(Seconds until = kNoTime) { return writable_.wait(until); }
+  /// The address of the other side; 0.0.0.0:0 if it is not known.
+  Address peer() const;
   /// The pending error of the socket (SO_ERROR), 0 for none.
   int error() const;
 
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -63,6 +63,17 @@
   if (guard_ != nullptr) guard_->counters().closed(reason);
 }
 
+ClientListener::Totals ClientListener::totals() const {
+  Totals totals{.connections = connections_.size()};
+  for (const auto& [client, owner] : connections_) {
+    totals.deferred_requests += client->deferred_.size();
+    if (!client->has_partial_message()) continue;
+    ++totals.unfinished_messages;
+    totals.unfinished_bytes += client->stream_.in().size();
+  }
+  return totals;
+}
+
 // ---- Accepting. ----------------------------------------------------------------------------------------
 
 Task ClientListener::accept_all() {
@@ -118,8 +129,9 @@
     first = client;
   }
   if (first == nullptr) return false;
-  log_("client", "connection closed to make room for another: {} for {:.1f} s",
-       first->has_partial_message() ? "message incomplete" : "idle", scheduler_.now() - first->idle_since());
+  log_("client", "{}: connection closed to make room for another: {} for {:.1f} s",
+       text_of(first->stream_.peer()), first->has_partial_message() ? "message incomplete" : "idle",
+       scheduler_.now() - first->idle_since());
   count_close(guard::ClientClose::made_room);
   half_close(*first);
   if (closing_ > kMaxClosing) close_oldest_half_closed();
@@ -189,8 +201,8 @@
   if (!client.is_silent() || client.awaits_answers()) return false;
   const bool idle = client.idle();
   if (!idle && !client.has_stopped_reading()) return false;
-  log_("client", "connection closed: nothing received for {} s and no complete message",
-       ClientConnection::kSilenceTimeout);
+  log_("client", "{}: connection closed: nothing received for {} s and no complete message",
+       text_of(client.stream_.peer()), ClientConnection::kSilenceTimeout);
   count_close(guard::ClientClose::no_whole_message);
   if (idle) {
     half_close(client);
@@ -230,8 +242,9 @@
     if (client->stream_.unsent() == 0) continue;
     client->stream_.retry_flush();
     if (client->stream_.broken() || !client->has_stalled()) continue;
-    log_("client", "connection closed: {} bytes unread and nothing read for {:.1f} s, memory is short",
-         client->stream_.unsent(), scheduler_.now() - client->stream_.stalled_since());
+    log_("client", "{}: connection closed: {} bytes unread and nothing read for {:.1f} s, memory is short",
+         text_of(client->stream_.peer()), client->stream_.unsent(),
+         scheduler_.now() - client->stream_.stalled_since());
     client->slow_reader_ = true;
     client->stream_.close();
   }
@@ -256,8 +269,8 @@
   for (const auto& [rate, client] : by_rate) {
     if (bytes <= limit) return;
     bytes -= client->stream_.in().size();
-    log_("client", "connection closed: {} bytes of a message at {:.0f} bytes/s, memory is short",
-         client->stream_.in().size(), rate);
+    log_("client", "{}: connection closed: {} bytes of a message at {:.0f} bytes/s, memory is short",
+         text_of(client->stream_.peer()), client->stream_.in().size(), rate);
     count_close(guard::ClientClose::made_room);
     half_close(*client);
   }
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -56,6 +56,15 @@
   bool has_unsent_answers() const;
   /// Whether a message of any client is still arriving.
   bool has_arriving_messages() const;
+  /// What clients have in memory, for the log.
+  struct Totals {
+    std::size_t connections = 0;          ///< half-closed ones included
+    std::size_t unfinished_messages = 0;  ///< messages of which a part was received
+    std::size_t unfinished_bytes = 0;     ///< bytes of these
+    std::size_t deferred_requests = 0;    ///< requests that wait until their client has read more
+  };
+  /// Sums over all connections.
+  Totals totals() const;
   /// Number of connections, half-closed ones included.
   std::size_t count() const { return connections_.size(); }
 
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -27,7 +27,7 @@
     auto request = std::move(deferred[waiting]);
     deferred.erase(deferred.begin() + static_cast<std::ptrdiff_t>(waiting));
     if (verdict == Verdict::reject) {
-      reject(*client, request);
+      reject(*client, request, guard::Unstarted::late_answer);
       continue;
     }
     request.started = routing::OutputAdmission::StartedRequest(client->admission_);
@@ -37,9 +37,13 @@
 }
 
 // Answers a request that was not started.
-void ClientMessages::reject(ClientConnection& client, const Request& request) {
-  log_("shed", "{}: rejected, its client has {} bytes unread", request.id_text, client.stream_.unsent());
-  if (guard_ != nullptr) ++guard_->counters().shed;
+void ClientMessages::reject(ClientConnection& client, const Request& request, guard::Unstarted reason) {
+  log_("shed", "{}: rejected before it started: {}; its client has {} bytes unread, {} bytes are free",
+       request.id_text, to_string(reason), client.stream_.unsent(), budget_.free_bytes());
+  if (guard_ != nullptr) {
+    ++guard_->counters().shed;
+    guard_->counters().not_started(reason);
+  }
   client.answer(request.tag, "REJECT");
 }
 
@@ -56,7 +60,7 @@
       handle(client, message.words);
     } catch (const InputError& e) {
       if (client->is_open()) {
-        log_("client", "connection closed: malformed message: {}", e.what());
+        log_("client", "{}: connection closed: malformed message: {}", text_of(stream.peer()), e.what());
         if (guard_ != nullptr) guard_->counters().closed(guard::ClientClose::unusable_message);
       }
       client->begin_end();
@@ -103,8 +107,9 @@
     log_("request", "malformed request: {}", e.what());
     return client->answer(tag, "ABORTED");
   }
-  if (stopped_ || !client->is_open()) return client->answer(tag, "REJECT");  // no attempt was started
-  if (request.body.size() > budget_.free_bytes()) return reject(*client, request);
+  if (stopped_ || !client->is_open()) return reject(*client, request, guard::Unstarted::connection_ends);
+  if (request.body.size() > budget_.free_bytes())
+    return reject(*client, request, guard::Unstarted::no_memory);
   request.body_memory = BufferBudget::Lease(budget_, request.body.size());
   client->deferred_.push_back(std::move(request));
   serve_deferred(client);
--- a/src/net/client_messages.h
+++ b/src/net/client_messages.h
@@ -56,7 +56,7 @@
   void execute(const std::shared_ptr<ClientConnection>& client, const std::vector<std::string_view>& words,
                const std::string& tag);
 
-  void reject(ClientConnection& client, const Request& request);
+  void reject(ClientConnection& client, const Request& request, guard::Unstarted reason);
 
   Scheduler& scheduler_;
   BufferBudget& budget_;
--- a/src/server/metrics.cpp
+++ b/src/server/metrics.cpp
@@ -2,19 +2,17 @@
 
 #include <fmt/core.h>
 #include <time.h>
-#include <unistd.h>
 
-#include <fstream>
 #include <string_view>
 
 #include "guard/guard.h"
+#include "io/process_memory.h"
 
 namespace walkpaddle::server {
 
 namespace {
 
 constexpr Seconds kLoadSampleInterval = 1;  // sampling reads a file in /proc
-constexpr double kBytesPerMegabyte = 1 << 20;
 
 using NamedCounters = std::vector<std::pair<std::string, std::uint64_t>>;
 
@@ -46,6 +44,7 @@
                        {"ejected_failing", ejections.failing},
                        {"ejected_silent", ejections.silent}};
   append_by_reason(all, "client_closed", guard::kClientCloseNames, counters.client_closes);
+  append_by_reason(all, "unstarted", guard::kUnstartedNames, counters.unstarted);
   append_by_reason(all, "endpoint_closed", guard::kEndpointCloseNames, counters.endpoint_closes);
   append_violations(all, guard);
   return all;
@@ -70,13 +69,8 @@
 void Metrics::sample_process_load() {
   timespec cpu{};
   ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &cpu);
-  long total_pages = 0;
-  long resident_pages = 0;
-  std::ifstream("/proc/self/statm") >> total_pages >> resident_pages;
-  const auto page_size = static_cast<double>(::sysconf(_SC_PAGESIZE));
-  const double memory_mb = static_cast<double>(resident_pages) * page_size / kBytesPerMegabyte;
   const double cpu_seconds = static_cast<double>(cpu.tv_sec) + static_cast<double>(cpu.tv_nsec) * 1e-9;
-  dispatcher_.metrics()->load_measured(memory_mb, cpu_seconds, scheduler_.now());
+  dispatcher_.metrics()->load_measured(resident_megabytes(), cpu_seconds, scheduler_.now());
 }
 
 }  // namespace walkpaddle::server
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -68,6 +68,7 @@
           }),
       reload_(std::move(read_config), scheduler_, discovery_, log),
       metrics_(scheduler_, dispatcher_),
+      memory_monitor_({scheduler_, log, config_.memory_mb, outbox_, client_listener_, dispatcher_, metrics_}),
       admin_view_(upstream_, metrics_),
       warm_start_(operator_config_.warm_start_file, config_.settings, scheduler_, dispatcher_, upstream_,
                   log),
@@ -85,6 +86,7 @@
     purge_notifier_ =
         std::make_unique<net::PurgeNotifier>(scheduler_, log_, purges_, upstream_, purge_log_identity_);
   if (!operator_config_.admin_socket.empty()) open_admin_socket();
+  memory_monitor_.start();
   lifecycle_.start(rollout_agent_);
 }
 
--- a/src/server/server.h
+++ b/src/server/server.h
@@ -28,6 +28,7 @@
 #include "server/admin_view.h"
 #include "server/descriptor_budget.h"
 #include "server/lifecycle.h"
+#include "server/memory_monitor.h"
 #include "server/metrics.h"
 #include "server/reload.h"
 #include "server/rollout_agent.h"
@@ -105,6 +106,7 @@
   net::ClientListener client_listener_;
   ConfigReload reload_;
   Metrics metrics_;
+  MemoryMonitor memory_monitor_;
   AdminView admin_view_;
   WarmStart warm_start_;
   Lifecycle lifecycle_;
