--- a/tests/slow_writers.cpp
+++ b/tests/slow_writers.cpp
@@ -11,9 +11,7 @@
 #include <random>
 #include <vector>
 
-#include "large_object_server.h"
-#include "platform.h"
-#include "router_process.h"
+#include "deployment.h"
 
 using namespace walkpaddle;
 
@@ -156,41 +154,6 @@
   Seconds written_at_ = -1, write_answered_at_ = -1, ended_at_ = -1;  // < 0: not yet
 };
 
-// A router with its servers, which run on the scheduler of the test.
-struct Deployment {
-  explicit Deployment(const std::string& limits) : outbox(scheduler, std::size_t{1} << 30) {
-    std::string endpoints;
-    for (int n = 0; n < 4; ++n) {
-      servers.push_back(std::make_unique<LargeObjectServer>(scheduler, outbox, kObjectBytes));
-      endpoints += endpoint_json(fmt::format("s-{:08x}", n), servers.back()->port(), "edge", "cache") + ",";
-    }
-    endpoints += endpoint_json("s-00000099", servers.back()->port(), "hub", "origin");
-    const int port = ports.take();
-    router = std::make_unique<Program>("slow", platform_config_json("n0", port, 0, endpoints, limits), port);
-    for (const Seconds until = now() + 10; !router->ready() && now() < until;) ::usleep(10'000);
-  }
-  ~Deployment() { scheduler.drop_tasks(); }
-  // Runs the task, which stops the scheduler, and then ends the router. The result is its exit status.
-  int run(Task task) {
-    scheduler.start(std::move(task));
-    scheduler.run();
-    int status = -1;
-    ::kill(router->pid, SIGTERM);
-    ::waitpid(router->pid, &status, 0);
-    router->pid = -1;
-    return status;
-  }
-  std::string log() const {
-    std::ifstream in(router->folder / "log");
-    return {std::istreambuf_iterator<char>(in), {}};
-  }
-  Scheduler scheduler;
-  Outbox outbox;
-  std::vector<std::unique_ptr<LargeObjectServer>> servers;
-  fakes::Ports ports;
-  std::unique_ptr<Program> router;
-};
-
 constexpr Seconds kNoSignal = -1;
 
 // Plays the scripts until all are done. `sigterm_before`: how long before the end of the first client's write
@@ -210,7 +173,7 @@
 }
 
 void check(const std::vector<Script>& scripts, Seconds sigterm_before = kNoSignal) {
-  Deployment deployment(R"({"sockets":512,"memory_mb":64})");
+  Deployment deployment(R"({"sockets":512,"memory_mb":64})", kObjectBytes);
   std::vector<std::unique_ptr<Writer>> writers;
   for (const auto& script : scripts)
     writers.push_back(std::make_unique<Writer>(*deployment.router, static_cast<int>(writers.size()), script));
@@ -224,11 +187,6 @@
   CHECK(status == 0);
 }
 
-int environment_number(const char* name, int otherwise) {
-  const char* const text = std::getenv(name);
-  return text == nullptr ? otherwise : std::atoi(text);
-}
-
 Script draw(std::mt19937& random) {
   const auto between = [&random](double least, double most) {
     return std::uniform_real_distribution(least, most)(random);
@@ -281,7 +239,7 @@
 TEST_CASE("given 32 MB and large messages that hardly arrive, then the writes of others are served") {
   constexpr int kDripping = 330;
   constexpr double kLimitMb = 32;
-  Deployment deployment(R"({"sockets":1024,"memory_mb":32})");
+  Deployment deployment(R"({"sockets":1024,"memory_mb":32})", kObjectBytes);
   std::vector<Fd> dripping;
   const std::string part =
       "*5\r\n$4\r\nEXEC\r\n$1\r\n1\r\n$5\r\norder\r\n$1\r\n-\r\n$48000\r\n" + std::string(47'000, 's');
--- a/tests/unread_answers.cpp
+++ b/tests/unread_answers.cpp
@@ -10,9 +10,7 @@
 #include <random>
 
 #include "base/text.h"
-#include "large_object_server.h"
-#include "platform.h"
-#include "router_process.h"
+#include "deployment.h"
 
 using namespace walkpaddle;
 
@@ -129,10 +127,10 @@
 Result run(const Play& play) {
   Scheduler scheduler;
   Outbox outbox(scheduler, std::size_t{1} << 30);
-  std::vector<std::unique_ptr<LargeObjectServer>> servers;
+  std::vector<std::unique_ptr<CacheServer>> servers;
   std::string endpoints;
   for (int n = 0; n < 4; ++n) {
-    servers.push_back(std::make_unique<LargeObjectServer>(scheduler, outbox, play.bytes));
+    servers.push_back(std::make_unique<CacheServer>(scheduler, outbox, play.bytes));
     endpoints += endpoint_json(fmt::format("s-{:08x}", n), servers.back()->port(), "edge", "cache") + ",";
   }
   endpoints += endpoint_json("s-00000099", servers.back()->port(), "hub", "origin");
@@ -168,11 +166,6 @@
   if (play.all_can_be_served()) CHECK(result.served == result.requests);
 }
 
-int environment_number(const char* name, int otherwise) {
-  const char* const text = std::getenv(name);
-  return text == nullptr ? otherwise : std::atoi(text);
-}
-
 Play draw(std::mt19937& random) {
   const auto pick = [&random](auto... values) {
     const std::common_type_t<decltype(values)...> all[] = {values...};
