Large messages are read only as memory for them is reserved, or once they have arrived

Cause: ClientListener read each client's message as it came, and ended unfinished ones only from an age of 2 s on; 504 connections with 47,000 bytes each hold 23.6 MB (line memory of the reproduction: 504 unfinished messages). Change: MessageIntake reads 4 KB of a message; the rest waits for a reservation in a budget of half the buffers, or until the kernel has it whole, when it is read at once, so quick writers never wait behind slow ones. Messages that hold memory and have stopped for 0.2 s are ended while others wait, then the slowest over 2 s. A message that has stopped goes before idle clients when places run out. Why this works: what an unfinished message takes is now reserved before it is read; what waits is the kernel's.

--- a/src/guard/counters.h
+++ b/src/guard/counters.h
@@ -20,12 +20,13 @@
   unusable_message,  ///< a message could not be parsed
   slow_reader,       ///< the client had stopped reading while memory was short
   program_ends,      ///< closed when the program ended
+  slow_message,      ///< an unfinished message held memory and arrived slowest, or had stopped
   count              ///< number of enumerators above
 };
 /// Names of the reasons, by value.
 constexpr std::array<std::string_view, static_cast<std::size_t>(ClientClose::count)> kClientCloseNames = {
-    "by_client",        "made_room",   "no_place",    "no_whole_message",
-    "unusable_message", "slow_reader", "program_ends"};
+    "by_client",        "made_room",   "no_place",     "no_whole_message",
+    "unusable_message", "slow_reader", "program_ends", "slow_message"};
 
 /// Why a request that was read from a client was not started.
 enum class Unstarted {
--- a/src/io/buffer_budget.cpp
+++ b/src/io/buffer_budget.cpp
@@ -12,10 +12,7 @@
   return bytes <= free_bytes() || (reserved_ == 0 && output_ == 0);
 }
 
-void BufferBudget::add(std::size_t bytes) {
-  buffered_ += bytes;
-  if (is_nearly_full()) shortage_.set();
-}
+void BufferBudget::add(std::size_t bytes) { buffered_ += bytes; }
 
 void BufferBudget::add_output(std::size_t bytes) {
   output_ += bytes;
--- a/src/io/buffer_budget.h
+++ b/src/io/buffer_budget.h
@@ -99,13 +99,10 @@
   std::size_t buffered() const { return buffered_; }
   /// Whether a reservation waits for memory.
   bool is_short() const { return !queue_.empty(); }
-  /// Whether little memory is free.
-  bool is_nearly_full() const { return free_bytes() < limit_ / kNearlyFullParts; }
-  /// Awaits the next request that cannot be granted at once, or that little memory is free. For one task.
+  /// Awaits the next request that cannot be granted at once. For one task.
   Event::Awaiter shortage() { return shortage_.wait(); }
 
  private:
-  static constexpr std::size_t kNearlyFullParts = 4;  // nearly full: less than one part in so many is free
   bool fits(std::size_t bytes) const;
   void grant_waiting();
 
--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -141,10 +141,10 @@
 
 // An edge-triggered event is reported once, so an interrupted call is repeated at once: there may be no other
 // event for these bytes.
-ssize_t receive(int fd, char* buffer, std::size_t size) {
+ssize_t receive(int fd, char* buffer, std::size_t size, int flags = 0) {
   ssize_t got = 0;
   do {
-    got = ::recv(fd, buffer, size, 0);
+    got = ::recv(fd, buffer, size, flags);
   } while (got < 0 && errno == EINTR);
   return got;
 }
@@ -187,13 +187,21 @@
   char next = 0;
   const auto got = ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
   if (got <= 0) return got == 0 || (errno != EAGAIN && errno != EINTR);
-  pollfd end{fd_.get(), POLLRDHUP, 0};
-  return ::poll(&end, 1, 0) > 0;
+  return peer_has_closed();
 }
 
-bool Stream::has_input() const {
-  char next = 0;
-  return !broken_ && ::recv(fd_.get(), &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+std::size_t Stream::available(std::size_t max_bytes) const {
+  if (broken_) return 0;
+  auto& buffer = outbox_.read_buffer();
+  const auto got =
+      receive(fd_.get(), buffer.data(), std::min(buffer.size(), max_bytes), MSG_PEEK | MSG_DONTWAIT);
+  return got > 0 ? static_cast<std::size_t>(got) : 0;
+}
+
+bool Stream::peer_has_closed() const {
+  if (broken_ || unwritable_) return true;
+  pollfd end{fd_.get(), POLLRDHUP, 0};
+  return ::poll(&end, 1, 0) > 0;
 }
 
 void Stream::consume(std::size_t bytes) {
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -103,7 +103,12 @@
   /// Whether bytes were received that have not been consumed, here or in the kernel.
   bool has_unread() const { return !in().empty() || has_input(); }
   /// Whether the kernel has received bytes that were not read yet.
-  bool has_input() const;
+  bool has_input() const { return available(1) > 0; }
+  /// Number of bytes that the kernel has received and that were not read yet, as far as `max_bytes` and one
+  /// read buffer.
+  std::size_t available(std::size_t max_bytes) const;
+  /// Whether the peer has closed its side or the connection is broken, even if bytes from before are unread.
+  bool peer_has_closed() const;
   /// The bytes that were read and not consumed yet.
   std::string_view in() const { return {in_.data() + in_from_, in_.size() - in_from_}; }
   /// Removes bytes from the front of in().
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -14,6 +14,9 @@
 // read within this time, in steps of some ten kilobytes.
 constexpr Seconds kStallTimeout = 2;
 
+// Of the first request, and between the parts of a message.
+constexpr Seconds kTransitTime = 0.2;
+
 }  // namespace
 
 void ClientConnection::answer(const std::string& tag, std::string_view status, std::string_view fields,
@@ -57,6 +60,21 @@
   return phase_ != Phase::ending || messages_while_ending_ < kMaxOpenRequests;
 }
 
+// What arrives on a half-closed connection is discarded, so it takes no memory.
+std::size_t ClientConnection::max_read_bytes() const {
+  return phase_ == Phase::half_closed ? MessageIntake::kUnreservedBytes : intake_.max_read_bytes();
+}
+
+// Whether a message was begun and nothing of it has come for longer than its parts are in transit.
+bool ClientConnection::has_stopped_sending() const {
+  return has_partial_message() && scheduler_.now() >= message_.last_received_at() + kTransitTime;
+}
+
+void ClientConnection::discard_input() {
+  stream_.consume(stream_.in().size());
+  intake_.messages_consumed();
+}
+
 // Starts an orderly close. To close a socket that has unread bytes would reset the connection, and the client
 // could lose the last answers that were sent to it.
 void ClientConnection::begin_end() {
@@ -75,13 +93,18 @@
   last_received_at_ = scheduler_.now();
   if (phase_ == Phase::ending) ++messages_while_ending_;
   message_.finish();
+  intake_.message_finished();
 }
 
 void ClientConnection::input_taken(std::size_t bytes_received) {
-  if (!has_partial_message()) return;
-  message_.received(std::min(bytes_received, stream_.in().size()), scheduler_.now());
-  // A buffer that grows with each part would take up to twice the size of the message.
-  stream_.expect(stream_.in().size() + missing_resp_bytes(stream_.in()));
+  intake_.messages_consumed();
+  if (has_partial_message())
+    message_.received(std::min(bytes_received, stream_.in().size()), scheduler_.now());
+}
+
+// A message whose bytes stay with the kernel for want of memory arrives all the same.
+void ClientConnection::note_arrivals() {
+  if (const auto bytes = intake_.take_arrived(); bytes > 0) message_.received(bytes, scheduler_.now());
 }
 
 // Whether a message is awaited of which nothing has come for a while.
@@ -103,11 +126,11 @@
 
 // nullopt: the next bytes are probably in transit.
 std::optional<EvictionRank> ClientConnection::eviction_rank() const {
-  constexpr Seconds kTransitTime = 0.2;  // of the first request, and between the parts of a message
   using Kind = EvictionRank::Kind;
   const Seconds now = scheduler_.now();
   if (has_partial_message()) {
     if (message_.age(now) < kTransitTime) return std::nullopt;
+    if (has_stopped_sending()) return EvictionRank{Kind::stopped, message_.last_received_at()};
     return EvictionRank{is_dripping() ? Kind::dripping : Kind::incomplete, message_.rate(now)};
   }
   const bool nothing_sent = !has_sent_message_ && last_received_at_ <= now - kTransitTime;
@@ -115,9 +138,10 @@
 }
 
 Seconds ClientConnection::read_deadline() const {
-  constexpr Seconds kPollInterval = 0.1;  // while requests are deferred or a message is overdue
+  constexpr Seconds kPollInterval = 0.1;  // while requests are deferred, or a message is overdue or held back
   const bool silent = is_silent();
-  const Seconds poll_at = silent || !deferred_.empty() ? scheduler_.now() + kPollInterval : kNoTime;
+  const bool polls = silent || !deferred_.empty() || intake_.awaits_memory();
+  const Seconds poll_at = polls ? scheduler_.now() + kPollInterval : kNoTime;
   return silent ? poll_at : std::min(message_.last_received_at() + kSilenceTimeout, poll_at);
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -18,6 +18,7 @@
 #include "io/stream.h"
 #include "net/acknowledgement_progress.h"
 #include "net/client_request.h"
+#include "net/message_intake.h"
 #include "net/message_progress.h"
 #include "routing/output_admission.h"
 
@@ -31,12 +32,14 @@
   /// sends a message that hardly arrives, must not use up all connections.
   enum class Kind {
     nothing_sent,  ///< nothing was received for longer than a first request is in transit
+    stopped,       ///< a message that has stopped arriving; the one that stopped first goes first
     dripping,      ///< a message that hardly arrives
     idle,          ///< between messages; the one that has been idle longest goes first
     incomplete     ///< a message that is arriving; the slowest goes first
   };
   Kind kind = Kind::idle;  ///< decides first
-  double order = 0;  ///< within the kind: when it became idle, in seconds, or the rate in bytes per second
+  /// Within the kind: when it became idle or stopped, in seconds, or the rate in bytes per second.
+  double order = 0;
   /// By kind, then by order.
   auto operator<=>(const EvictionRank&) const = default;
 };
@@ -52,9 +55,14 @@
 /// client closes its side, or a time limit has passed and its machine has acknowledged all answers.
 class ClientConnection {
  public:
-  /// Takes over an accepted socket. The references must outlive the connection.
-  ClientConnection(Scheduler& scheduler, Outbox& outbox, routing::OutputAdmission& admission, Fd socket)
-      : scheduler_(scheduler), admission_(admission), stream_(scheduler, outbox, std::move(socket)) {}
+  /// Takes over an accepted socket. `unfinished_messages`: memory for large messages of all clients. The
+  /// references must outlive the connection.
+  ClientConnection(Scheduler& scheduler, Outbox& outbox, BufferBudget& unfinished_messages,
+                   routing::OutputAdmission& admission, Fd socket)
+      : scheduler_(scheduler),
+        admission_(admission),
+        stream_(scheduler, outbox, std::move(socket)),
+        intake_(stream_, unfinished_messages) {}
   /// Writes one answer.
   void answer(const std::string& tag, std::string_view status, std::string_view fields = {},
               std::string_view body = {});
@@ -93,10 +101,14 @@
   bool has_stalled() const;
   bool has_stopped_reading();
   bool may_read() const;
+  std::size_t max_read_bytes() const;
+  bool has_stopped_sending() const;
+  void discard_input();
   void begin_end();
   void connected();
   void message_taken();
   void input_taken(std::size_t bytes_received);
+  void note_arrivals();
   bool is_silent() const;
   bool is_dripping() const;
   bool awaits_rest_of_message() const;
@@ -119,6 +131,7 @@
   Seconds last_received_at_ = 0;  // when the client connected or last completed a message
   Seconds last_answered_at_ = 0;  // when an answer was last written
   MessageProgress message_;       // the first message, or one of which a part was received
+  MessageIntake intake_;
   AcknowledgementProgress acknowledgements_;
 };
 
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// Large messages that are not complete may take one part in so many of the memory for buffers.
+constexpr std::size_t kUnfinishedMessagesShare = 2;
+
 // Whether an accept error concerns only the connection that was to be accepted. Such a connection is gone,
 // and the next one can be accepted (accept(2), "Error handling").
 bool is_connection_error(int error) {
@@ -48,10 +51,12 @@
       outbox_(outbox),
       log_(log),
       max_connections_(max_connections),
+      unfinished_messages_(scheduler, outbox.budget().limit() / kUnfinishedMessagesShare),
       messages_(scheduler, outbox.budget(), log, std::move(classes), std::move(serve)),
       listener_(scheduler, std::move(listener)) {
   scheduler_.start(accept_all());
   scheduler_.start(relieve_memory());
+  scheduler_.start(end_slow_messages());
 }
 
 void ClientListener::set_guard(guard::Guard& guard) {
@@ -107,7 +112,8 @@
     return;
   }
   ::setsockopt(socket.get(), SOL_SOCKET, SO_SNDBUF, &kKernelBufferBytes, sizeof kKernelBufferBytes);
-  auto client = std::make_shared<ClientConnection>(scheduler_, outbox_, admission_, std::move(socket));
+  auto client = std::make_shared<ClientConnection>(scheduler_, outbox_, unfinished_messages_, admission_,
+                                                   std::move(socket));
   client->max_accept_delay_ = std::max(0.0, scheduler_.now() - accept_failing_since_);
   connections_[client.get()] = client;
   scheduler_.start_isolated(run_connection(std::move(client)));
@@ -123,7 +129,7 @@
   for (const auto& [client, owner] : connections_) {
     if (!client->is_open() || !client->is_answered()) continue;
     const auto rank = client->eviction_rank();
-    if (!rank || (lowest && !(*rank < *lowest)) || client->stream_.has_input()) continue;
+    if (!rank || (lowest && !(*rank < *lowest)) || client->intake_.may_have_unread_message()) continue;
     if (!client->is_finished()) continue;
     lowest = rank;
     first = client;
@@ -186,8 +192,13 @@
 Stream::ReadResult ClientListener::read(const std::shared_ptr<ClientConnection>& client) {
   auto& stream = client->stream_;
   if (!client->may_read()) return stream.broken() ? Stream::ReadResult::end : Stream::ReadResult::nothing;
+  const auto max_bytes = client->max_read_bytes();
+  if (max_bytes == 0) {
+    client->note_arrivals();
+    return stream.peer_has_closed() ? Stream::ReadResult::end : Stream::ReadResult::nothing;
+  }
   const auto unread_before = stream.in().size();
-  const auto result = stream.read();
+  const auto result = stream.read(max_bytes);
   if (result != Stream::ReadResult::bytes) return result;
   const auto bytes_received = stream.in().size() - unread_before;
   messages_.take(client);
@@ -220,16 +231,15 @@
   client.notify_client_left();
 }
 
-// While memory is short, ends connections that hold it and make no progress, until others have some.
+// While answers wait for memory, ends connections that hold it and make no progress.
 Task ClientListener::relieve_memory() {
   constexpr Seconds kPollInterval = 0.1;
   auto& budget = outbox_.budget();
   Event poll(scheduler_);
   for (;;) {
     co_await budget.shortage();
-    while (budget.is_short() || budget.is_nearly_full()) {
-      if (budget.is_short()) close_stalled_clients();
-      end_slowest_message();
+    while (budget.is_short()) {
+      close_stalled_clients();
       co_await poll.wait(scheduler_.now() + kPollInterval);
     }
   }
@@ -250,30 +260,51 @@
   }
 }
 
-// Half-closes connections with unfinished messages, the slowest first, while these take more than their share
-// of the memory.
+// While large messages wait for memory, half-closes connections whose messages hold it: those that have
+// stopped arriving, or else the slowest one.
+Task ClientListener::end_slow_messages() {
+  constexpr Seconds kPollInterval = 0.05;
+  Event poll(scheduler_);
+  for (;;) {
+    co_await unfinished_messages_.shortage();
+    while (unfinished_messages_.is_short()) {
+      if (!end_stopped_messages()) end_slowest_message();
+      co_await poll.wait(scheduler_.now() + kPollInterval);
+    }
+  }
+}
+
+// Whether the connection can be ended because its unfinished message holds memory.
+bool ClientListener::may_end_message(ClientConnection& client) {
+  return client.is_open() && client.has_partial_message() && client.intake_.holds_memory() && client.idle() &&
+         !client.intake_.may_have_unread_message();
+}
+
+void ClientListener::end_message(ClientConnection& client) {
+  log_("client", "{}: connection closed: {} bytes of a message at {:.0f} bytes/s, memory is short",
+       text_of(client.stream_.peer()), client.stream_.in().size(), client.message_.rate(scheduler_.now()));
+  count_close(guard::ClientClose::slow_message);
+  half_close(client);
+}
+
+bool ClientListener::end_stopped_messages() {
+  bool any = false;
+  for (const auto& [client, owner] : connections_) {
+    if (!client->has_stopped_sending() || !may_end_message(*client)) continue;
+    end_message(*client);
+    any = true;
+  }
+  return any;
+}
+
 void ClientListener::end_slowest_message() {
-  constexpr std::size_t kShare = 2;  // unfinished messages may take one part in so many
-  const auto limit = outbox_.budget().limit() / kShare;
   const Seconds now = scheduler_.now();
-  std::size_t bytes = 0;
-  std::vector<std::pair<double, ClientConnection*>> by_rate;
+  ClientConnection* slowest = nullptr;
   for (const auto& [client, owner] : connections_) {
-    if (!client->is_open() || !client->has_partial_message()) continue;
-    bytes += client->stream_.in().size();
-    if (client->message_.age(now) >= ClientConnection::kSilenceTimeout && client->idle() &&
-        !client->stream_.has_input())
-      by_rate.emplace_back(client->message_.rate(now), client);
-  }
-  std::ranges::sort(by_rate);
-  for (const auto& [rate, client] : by_rate) {
-    if (bytes <= limit) return;
-    bytes -= client->stream_.in().size();
-    log_("client", "{}: connection closed: {} bytes of a message at {:.0f} bytes/s, memory is short",
-         text_of(client->stream_.peer()), client->stream_.in().size(), rate);
-    count_close(guard::ClientClose::made_room);
-    half_close(*client);
+    if (client->message_.age(now) < ClientConnection::kSilenceTimeout || !may_end_message(*client)) continue;
+    if (slowest == nullptr || client->message_.rate(now) < slowest->message_.rate(now)) slowest = client;
   }
+  if (slowest != nullptr) end_message(*slowest);
 }
 
 // ---- Closing. ------------------------------------------------------------------------------------------
@@ -289,6 +320,7 @@
   ++closing_;
   client.close_at_ = scheduler_.now() + kLingerTime;
   client.stream_.shutdown_write();
+  client.discard_input();
   client.stream_.wake();
 }
 
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -73,6 +73,10 @@
   Task accept_all();
   Task relieve_memory();
   void close_stalled_clients();
+  Task end_slow_messages();
+  static bool may_end_message(ClientConnection& client);
+  void end_message(ClientConnection& client);
+  bool end_stopped_messages();
   void end_slowest_message();
   void accepted(Fd socket);
   Task run_connection(std::shared_ptr<ClientConnection> client);
@@ -91,6 +95,7 @@
   Log& log_;
   const std::size_t max_connections_;
   routing::OutputAdmission admission_;
+  BufferBudget unfinished_messages_;  // memory for large messages that are not complete
   ClientMessages messages_;
   guard::Guard* guard_ = nullptr;  // null: no counts, no checks
   std::size_t closing_ = 0;        // number of half-closed connections
--- a/src/net/resp_parser.cpp
+++ b/src/net/resp_parser.cpp
@@ -45,17 +45,17 @@
   into.used = bytes.size() - rest.size();
 }
 
-std::size_t missing_resp_bytes(std::string_view bytes) {
+MissingBytes missing_resp_bytes(std::string_view bytes) {
   constexpr auto kNoMaximum = static_cast<std::size_t>(-1);  // the caller has checked the lengths
   std::size_t count = 0;
-  if (!take_length(bytes, '*', kNoMaximum, count)) return 1;
+  if (!take_length(bytes, '*', kNoMaximum, count)) return {};
   for (std::size_t n = 0; n < count; ++n) {
     std::size_t length = 0;
-    if (!take_length(bytes, '$', kNoMaximum, length)) return 1;
-    if (bytes.size() < length + 2) return length + 2 - bytes.size();
+    if (!take_length(bytes, '$', kNoMaximum, length)) return {};
+    if (bytes.size() < length + 2) return {length + 2 - bytes.size(), n + 1 == count};
     bytes.remove_prefix(length + 2);
   }
-  return 1;
+  return {};
 }
 
 std::string resp_array_text(std::initializer_list<std::string_view> words) {
--- a/src/net/resp_parser.h
+++ b/src/net/resp_parser.h
@@ -23,9 +23,13 @@
 /// strings.
 void read_resp_array(std::string_view bytes, std::size_t max_words, std::size_t max_bytes, RespArray& into);
 
-/// The bytes that are missing at least from an array whose start was parsed as incomplete by
-/// read_resp_array(). 1 if the next bytes must show it.
-std::size_t missing_resp_bytes(std::string_view bytes);
+/// What is missing from an incomplete array, as far as its lengths are known.
+struct MissingBytes {
+  std::size_t bytes = 1;         ///< at least so many; 1 if the next bytes must show it
+  bool completes_array = false;  ///< these bytes are the last ones of the array
+};
+/// What is missing from an array whose start was parsed as incomplete by read_resp_array().
+MissingBytes missing_resp_bytes(std::string_view bytes);
 
 /// Encodes an array of these strings.
 std::string resp_array_text(std::initializer_list<std::string_view> words);
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -131,7 +131,7 @@
 // the rest stays with the kernel and the endpoint until clients have read other answers.
 void UpstreamConnection::reserve_answer() {
   if (!answer_begun()) return answer_memory_.release();
-  const auto missing = missing_resp_bytes(stream_.in());
+  const auto missing = missing_resp_bytes(stream_.in()).bytes;
   if (missing <= kUnreservedBytes) return answer_memory_.release();
   if (missing <= answer_memory_.bytes()) return answer_memory_.reduce_to(missing);
   stream_.expect(stream_.in().size() + missing);
