Input buffers that have grown for a large message are freed once it is consumed

Callers saw: a router of 32 MB passes its limit beside clients that send one large write each and stay connected. Cause: Stream freed an empty input buffer only above 64 KB, and only at its next read; 504 idle connections kept 48 KB each, which no budget counted. Change: consume() frees an empty buffer above 4 KB at once. Why this works: an idle connection of any kind, clients, endpoints, peers, holds at most 4 KB.

--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -154,13 +154,7 @@
 Stream::ReadResult Stream::read(std::size_t max_bytes) {
   if (broken_) return ReadResult::end;
   auto& buffer = outbox_.read_buffer();
-  if (in_from_ == in_.size()) {
-    in_.clear();
-    in_from_ = 0;
-    if (in_.capacity() > buffer.size()) in_.shrink_to_fit();  // it had grown for a large message
-  } else if (in_from_ > buffer.size()) {
-    in_.erase(0, std::exchange(in_from_, 0));
-  }
+  if (in_from_ > buffer.size()) in_.erase(0, std::exchange(in_from_, 0));
   const auto got = receive(fd_.get(), buffer.data(), std::min(buffer.size(), max_bytes));
   const int error_number = errno;
   if (got > 0) {
@@ -207,6 +201,16 @@
 void Stream::consume(std::size_t bytes) {
   in_from_ += bytes;
   outbox_.budget().remove(bytes);
+  if (in_from_ == in_.size()) release_input();
+}
+
+// An empty buffer that has grown for a large message is freed: hundreds of idle connections would hold more
+// than all messages that are being received.
+void Stream::release_input() {
+  constexpr std::size_t kMaxKeptBytes = 4096;
+  in_.clear();
+  in_from_ = 0;
+  if (in_.capacity() > kMaxKeptBytes) std::string().swap(in_);
 }
 
 namespace {
