Open requests of all clients are limited by the memory, and each client by what is free

Callers saw: beside a crowd with 32 open requests each, servers silent, a router of 32 MB passes its limit, answers nobody and is not gone 5 s after SIGTERM. Cause: the only bound was 32 requests a connection, 16,128 in all at 2 KB each (line memory: 16,067 open requests, 48,000 bytes buffered), and each is decided anew while it waits. Change: RequestQuota, in policy: an eighth of the memory at 2 KB each, 2,048 at 32 MB; one client may have a sixteenth of what is free (dynamic thresholds, Choudhury and Hahne), at least one; what is over is rejected at once and counted as too_many_open. Why this works: memory and time for requests no longer grow with the number of clients, and a newcomer has room for a first request.

--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -45,14 +45,14 @@
 };
 
 ClientListener::ClientListener(Scheduler& scheduler, Outbox& outbox, Log& log, Fd listener,
-                               std::size_t max_connections, std::vector<config::RequestClassName> classes,
+                               const Limits& limits, std::vector<config::RequestClassName> classes,
                                Serve serve)
     : scheduler_(scheduler),
       outbox_(outbox),
       log_(log),
-      max_connections_(max_connections),
+      limits_(limits),
       unfinished_messages_(scheduler, outbox.budget().limit() / kUnfinishedMessagesShare),
-      messages_(scheduler, outbox.budget(), log, std::move(classes), std::move(serve)),
+      messages_(scheduler, outbox.budget(), log, limits.requests, std::move(classes), std::move(serve)),
       listener_(scheduler, std::move(listener)) {
   scheduler_.start(accept_all());
   scheduler_.start(relieve_memory());
@@ -107,7 +107,7 @@
 void ClientListener::accepted(Fd socket) {
   // About one of the largest answers; without the limit the kernel's buffer would grow to megabytes.
   constexpr int kKernelBufferBytes = 256 * 1024;
-  if (connections_.size() - closing_ >= max_connections_ && !evict_client()) {
+  if (connections_.size() - closing_ >= limits_.connections && !evict_client()) {
     count_close(guard::ClientClose::no_place);  // none can be evicted: the new connection is closed at once
     return;
   }
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -26,10 +26,15 @@
 class ClientListener {
  public:
   using Serve = ClientMessages::Serve;  ///< starts a request
-  /// Number of half-closed connections, beyond `max_connections`, above which the oldest of them is closed.
+  /// Number of half-closed connections, beyond Limits::connections, above which the oldest of them is closed.
   static constexpr std::size_t kMaxClosing = 4;
-  /// `listener` is a listening socket. `max_connections` does not count half-closed connections.
-  ClientListener(Scheduler& scheduler, Outbox& outbox, Log& log, Fd listener, std::size_t max_connections,
+  /// Limits for all clients together.
+  struct Limits {
+    std::size_t connections = 2;  ///< open connections, half-closed ones not counted
+    std::size_t requests = 1024;  ///< requests that were read and have no answer
+  };
+  /// `listener` is a listening socket.
+  ClientListener(Scheduler& scheduler, Outbox& outbox, Log& log, Fd listener, const Limits& limits,
                  std::vector<config::RequestClassName> classes, Serve serve);
   ClientListener(const ClientListener&) = delete;
   ClientListener& operator=(const ClientListener&) = delete;
@@ -93,7 +98,7 @@
   Scheduler& scheduler_;
   Outbox& outbox_;
   Log& log_;
-  const std::size_t max_connections_;
+  const Limits limits_;
   routing::OutputAdmission admission_;
   BufferBudget unfinished_messages_;  // memory for large messages that are not complete
   ClientMessages messages_;
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -108,6 +108,9 @@
     return client->answer(tag, "ABORTED");
   }
   if (stopped_ || !client->is_open()) return reject(*client, request, guard::Unstarted::connection_ends);
+  const auto other_requests = open_ids_.size() - 1;  // this one's id is reserved already
+  if (!quota_.admits(client->requests(), other_requests))
+    return reject(*client, request, guard::Unstarted::too_many_open);
   if (request.body.size() > budget_.free_bytes())
     return reject(*client, request, guard::Unstarted::no_memory);
   request.body_memory = BufferBudget::Lease(budget_, request.body.size());
--- a/src/net/client_messages.h
+++ b/src/net/client_messages.h
@@ -13,6 +13,7 @@
 #include "io/scheduler.h"
 #include "net/client_connection.h"
 #include "net/client_request.h"
+#include "routing/request_quota.h"
 
 namespace walkpaddle::net {
 
@@ -27,11 +28,13 @@
   /// Starts a request. The request's task shares ownership of the connection until it is answered.
   using Serve = std::function<void(std::shared_ptr<ClientConnection>, Request)>;
 
-  /// `classes`: the request classes by index. `serve`: starts a request.
-  ClientMessages(Scheduler& scheduler, BufferBudget& budget, Log& log,
+  /// `max_requests`: open requests of all clients. `classes`: the request classes by index. `serve`: starts a
+  /// request.
+  ClientMessages(Scheduler& scheduler, BufferBudget& budget, Log& log, std::size_t max_requests,
                  std::vector<config::RequestClassName> classes, Serve serve)
       : scheduler_(scheduler),
         budget_(budget),
+        quota_(max_requests),
         log_(log),
         classes_(std::move(classes)),
         serve_(std::move(serve)) {}
@@ -60,6 +63,7 @@
 
   Scheduler& scheduler_;
   BufferBudget& budget_;
+  const routing::RequestQuota quota_;
   Log& log_;
   const std::vector<config::RequestClassName> classes_;
   const Serve serve_;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -60,7 +60,9 @@
                  .can_cancel = config_.settings.flag("allowed.cancel")}),
       discovery_(scheduler_, outbox_, log, dispatcher_, upstream_),
       client_listener_(
-          scheduler_, outbox_, log, client_listener_socket(config_), descriptors_.client_connections,
+          scheduler_, outbox_, log, client_listener_socket(config_),
+          {.connections = descriptors_.client_connections,
+           .requests = routing::RequestQuota::max_requests(config_.memory_mb)},
           config::request_class_names(config_.settings),
           [this](std::shared_ptr<net::ClientConnection> client, net::Request request) {
             scheduler_.start_isolated(net::serve(scheduler_, log_, dispatcher_, upstream_, std::move(client),
--- a/tests/connection_races.cpp
+++ b/tests/connection_races.cpp
@@ -149,7 +149,7 @@
 struct ClientFixture : TestLoop {
   ClientFixture()
       : clients(
-            scheduler, outbox, log, std::move(listener.fd), 8, {{.name = "page"}},
+            scheduler, outbox, log, std::move(listener.fd), {.connections = 8}, {{.name = "page"}},
             [this](std::shared_ptr<ClientConnection> c, Request o) { serve(std::move(c), std::move(o)); }) {}
   Fd connect(Fd fd = Fd(::socket(AF_INET, SOCK_STREAM, 0))) {
     const int receive_buffer = 4096;
