A waiting attempt costs no look at all others that wait for the same endpoint

Callers saw: no answer for seconds, and no end after SIGTERM, while many attempts wait for one endpoint. Cause: UpstreamPool::start looks for a connection for each waiting attempt, and each of them looked at all connections, whenever one more was queued (three stack samples of a process of 16,000 requests stand in place_waiting). Change: the pass ends at the first attempt that finds no connection, unless one has capacity and only that attempt may not use it.

--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -37,9 +37,12 @@
       budget_(outbox.budget()),
       answer_memory_(budget_, [this] { stream_.wake(); }) {}
 
+bool UpstreamConnection::has_capacity(std::size_t max_in_flight) const {
+  return usable() && !awaits_memory() && stream_.can_write() && in_flight_ < max_in_flight;
+}
+
 bool UpstreamConnection::accepts(const Attempt& attempt, std::size_t max_in_flight) const {
-  return usable() && !awaits_memory() && stream_.can_write() && in_flight_ < max_in_flight &&
-         !open_.contains(attempt.spec_.id);
+  return has_capacity(max_in_flight) && !open_.contains(attempt.spec_.id);
 }
 
 void UpstreamConnection::set_connected() {
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -91,6 +91,8 @@
   bool idle() const { return usable() && in_flight_ == 0; }
   /// Whether it accepts no new attempts; those in flight may finish.
   bool retired() const { return retired_; }
+  /// Whether it accepts another attempt, given a limit of `max_in_flight` attempts.
+  bool has_capacity(std::size_t max_in_flight) const;
   /// Whether this attempt may be written to it, given a limit of `max_in_flight` attempts.
   bool accepts(const Attempt& attempt, std::size_t max_in_flight) const;
 
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -140,6 +140,12 @@
   return best;
 }
 
+bool UpstreamPool::has_capacity(const UpstreamEndpoint& endpoint) const {
+  return std::ranges::any_of(endpoint.connections, [&](const UpstreamConnection* connection) {
+    return connection->has_capacity(max_in_flight_);
+  });
+}
+
 // Assigns waiting attempts to connections with capacity, each to the one with the fewest attempts. If that
 // one is already in use, another connection is dialled for later attempts, because a fault in one answer
 // costs all attempts that share the connection.
@@ -150,6 +156,7 @@
     auto& attempt = **it;
     auto* const connection = least_loaded(endpoint, attempt);
     if (connection == nullptr) {
+      if (!has_capacity(endpoint)) break;  // for the later ones neither
       ++it;
       continue;
     }
@@ -163,9 +170,9 @@
     it = endpoint.waiting.erase(it);
     attempt.send_over(*connection);
   }
-  const bool has_capacity =
+  const bool may_spread =
       endpoint.connections.size() < kMaxSpread && connection_count_ < settings_.max_connections * 3 / 4;
-  if (shares_connection && has_capacity && endpoint.dialling == 0)
+  if (shares_connection && may_spread && endpoint.dialling == 0)
     scheduler_.start_isolated(run_connection(endpoint.index));
 }
 
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -75,6 +75,7 @@
   UpstreamEndpoint& endpoint(int index) const { return *endpoints_[static_cast<std::size_t>(index)]; }
   void start(Attempt& attempt);
   void place_waiting(UpstreamEndpoint& endpoint);
+  bool has_capacity(const UpstreamEndpoint& endpoint) const;
   UpstreamConnection* least_loaded(const UpstreamEndpoint& endpoint, const Attempt& attempt) const;
   void dial_for_waiting(UpstreamEndpoint& endpoint);
   DialStep try_dial(UpstreamEndpoint& endpoint, DialCount& count, Fd& socket);
--- a/tests/connection_races.cpp
+++ b/tests/connection_races.cpp
@@ -353,6 +353,24 @@
   });
 }
 
+// Prevents that a crowd of requests at an endpoint that does not answer takes the thread for seconds.
+TEST_CASE("given many attempts that wait for one endpoint, then each further one is queued at once") {
+  constexpr int kAttempts = 16'000;
+  constexpr Seconds kAllowed = 0.5;  // half of the time after which silent endpoints are given up
+  UpstreamFixture s(64, 1);
+  const TestListener silent;
+  std::vector<std::unique_ptr<Attempt>> attempts;
+  s.run_scenario([&]() -> Task {
+    const int endpoint = s.update_endpoint("s-1", silent.address);
+    for (int n = 0; n < 64; ++n) attempts.push_back(s.start_attempt(endpoint, n));
+    co_await s.timer.wait(s.scheduler.now() + 0.2);  // until the connections are up
+    const Seconds began = s.scheduler.now_uncached();
+    for (int n = 64; n < kAttempts; ++n) attempts.push_back(s.start_attempt(endpoint, n));
+    CHECK(s.scheduler.now_uncached() - began < kAllowed);
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given an answer that arrives a byte at a time, then its connection is closed") {
   UpstreamFixture s;
   const TestListener listener;
