A client that does not read its replies is not read further

Callers saw: one client that sends health checks and reads nothing takes 322 MB of 32 in 3 s; expired and malformed requests do the same more slowly. Cause: each message of a client has a reply, and ClientConnection wrote it whatever was unread; OutputAdmission holds back only requests that start. Change: with more than 8 KB of replies without a body unread, reading stops until the client has read all; what has waited meanwhile counts against its time limit; the end of the client is seen all the same. At the connection limit, clients that have read nothing for 2 s are closed, which held their places for ever. Why this works: replies are now bounded for each connection, and connections are.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -21,14 +21,15 @@
 
 void ClientConnection::answer(const std::string& tag, std::string_view status, std::string_view fields,
                               std::string_view body) {
-  if (!body.empty()) admission_.answered(body.size());
   last_answered_at_ = scheduler_.now();
-  if (!body.empty())
-    stream_.write(resp_array_text({tag, status, fields, body}));
-  else if (!fields.empty())
-    stream_.write(resp_array_text({tag, status, fields}));
-  else
-    stream_.write(resp_array_text({tag, status}));
+  if (!body.empty()) {
+    admission_.answered(body.size());
+    return stream_.write(resp_array_text({tag, status, fields, body}));
+  }
+  const auto reply = fields.empty() ? resp_array_text({tag, status}) : resp_array_text({tag, status, fields});
+  if (stream_.unsent() == 0) reply_bytes_ = 0;
+  reply_bytes_ += reply.size();
+  stream_.write(reply);
 }
 
 bool ClientConnection::has_tag(const std::string& tag) const {
@@ -57,7 +58,24 @@
 // A client may have written so many requests before it learns of the end. Further messages are left with the
 // kernel, so that a client that goes on writing, or reads none of its answers, comes to its end too.
 bool ClientConnection::may_read() const {
-  return phase_ != Phase::ending || messages_while_ending_ < kMaxOpenRequests;
+  return !has_unread_replies() && (phase_ != Phase::ending || messages_while_ending_ < kMaxOpenRequests);
+}
+
+// Whether many replies wait for the client. Answers with a body are limited by OutputAdmission, but each
+// message of a client has a reply, also if it starts no request.
+bool ClientConnection::has_unread_replies() const {
+  constexpr std::size_t kMaxReplyBytes = 8192;  // some hundred replies
+  return reply_bytes_ > kMaxReplyBytes && stream_.unsent() > 0;
+}
+
+void ClientConnection::reading_paused() {
+  paused_since_ = std::min(paused_since_, scheduler_.now());
+  stream_.wake_on_output();
+}
+
+void ClientConnection::reading_resumed() {
+  if (paused_since_ >= kNoTime) return;
+  max_read_delay_ = std::max(max_read_delay_, scheduler_.now() - std::exchange(paused_since_, kNoTime));
 }
 
 // What arrives on a half-closed connection is discarded, so it takes no memory.
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -101,6 +101,9 @@
   bool has_stalled() const;
   bool has_stopped_reading();
   bool may_read() const;
+  bool has_unread_replies() const;
+  void reading_paused();
+  void reading_resumed();
   std::size_t max_read_bytes() const;
   bool has_stopped_sending() const;
   void discard_input();
@@ -126,8 +129,11 @@
   Seconds close_at_ = 0;                   // when a half-closed connection is closed, at the earliest
   bool slow_reader_ = false;               // the connection was closed because the client had stopped reading
   std::size_t messages_while_ending_ = 0;  // whole messages that were read in the phase `ending`
-  bool framing_lost_ = false;     // bytes were received that are no message: what follows cannot be read
-  Seconds max_accept_delay_ = 0;  // longest time that unread messages may have waited before the accept
+  bool framing_lost_ = false;       // bytes were received that are no message: what follows cannot be read
+  std::size_t reply_bytes_ = 0;     // replies without a body since the client had last read all
+  Seconds paused_since_ = kNoTime;  // since when messages are left with the kernel
+  // Longest time that unread messages may have waited before the accept, or while reading was paused.
+  Seconds max_read_delay_ = 0;
   Seconds last_received_at_ = 0;  // when the client connected or last completed a message
   Seconds last_answered_at_ = 0;  // when an answer was last written
   MessageProgress message_;       // the first message, or one of which a part was received
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -114,7 +114,7 @@
   ::setsockopt(socket.get(), SOL_SOCKET, SO_SNDBUF, &kKernelBufferBytes, sizeof kKernelBufferBytes);
   auto client = std::make_shared<ClientConnection>(scheduler_, outbox_, unfinished_messages_, admission_,
                                                    std::move(socket));
-  client->max_accept_delay_ = std::max(0.0, scheduler_.now() - accept_failing_since_);
+  client->max_read_delay_ = std::max(0.0, scheduler_.now() - accept_failing_since_);
   connections_[client.get()] = client;
   scheduler_.start_isolated(run_connection(std::move(client)));
 }
@@ -134,7 +134,7 @@
     lowest = rank;
     first = client;
   }
-  if (first == nullptr) return false;
+  if (first == nullptr) return close_longest_stalled();
   log_("client", "{}: connection closed to make room for another: {} for {:.1f} s",
        text_of(first->stream_.peer()), first->has_partial_message() ? "message incomplete" : "idle",
        scheduler_.now() - first->idle_since());
@@ -144,6 +144,20 @@
   return true;
 }
 
+// Closes the client that has read nothing for longest although replies wait for it, and that awaits no other
+// answers. False if there is none.
+bool ClientListener::close_longest_stalled() {
+  ClientConnection* longest = nullptr;
+  for (const auto& [client, owner] : connections_) {
+    if (client->stream_.broken() || client->awaits_answers()) continue;
+    if (client->stream_.unsent() == 0 || !client->has_stalled()) continue;
+    if (longest == nullptr || client->stream_.stalled_since() < longest->stream_.stalled_since())
+      longest = client;
+  }
+  if (longest != nullptr) close_stalled(*longest, "its place is needed");
+  return longest != nullptr;
+}
+
 void ClientListener::close_oldest_half_closed() {
   ClientConnection* oldest = nullptr;
   for (const auto& [client, owner] : connections_)
@@ -167,8 +181,6 @@
   for (int reads = 0;;) {
     const auto result = read(client);
     if (result == Stream::ReadResult::end) break;
-    if (result == Stream::ReadResult::nothing)
-      client->max_accept_delay_ = 0;  // later messages did not wait for the accept
     messages_.serve_deferred(client);
     if (!client->is_open() && may_close(*client)) break;
     if (result == Stream::ReadResult::bytes) {
@@ -191,7 +203,11 @@
 // Reads once and handles the whole messages that were received.
 Stream::ReadResult ClientListener::read(const std::shared_ptr<ClientConnection>& client) {
   auto& stream = client->stream_;
-  if (!client->may_read()) return stream.broken() ? Stream::ReadResult::end : Stream::ReadResult::nothing;
+  if (!client->may_read()) {
+    client->reading_paused();
+    return stream.peer_has_closed() ? Stream::ReadResult::end : Stream::ReadResult::nothing;
+  }
+  client->reading_resumed();
   const auto max_bytes = client->max_read_bytes();
   if (max_bytes == 0) {
     client->note_arrivals();
@@ -199,6 +215,7 @@
   }
   const auto unread_before = stream.in().size();
   const auto result = stream.read(max_bytes);
+  if (result == Stream::ReadResult::nothing) client->max_read_delay_ = 0;  // later messages have not waited
   if (result != Stream::ReadResult::bytes) return result;
   const auto bytes_received = stream.in().size() - unread_before;
   messages_.take(client);
@@ -251,15 +268,18 @@
   for (const auto& [client, owner] : connections_) {
     if (client->stream_.unsent() == 0) continue;
     client->stream_.retry_flush();
-    if (client->stream_.broken() || !client->has_stalled()) continue;
-    log_("client", "{}: connection closed: {} bytes unread and nothing read for {:.1f} s, memory is short",
-         text_of(client->stream_.peer()), client->stream_.unsent(),
-         scheduler_.now() - client->stream_.stalled_since());
-    client->slow_reader_ = true;
-    client->stream_.close();
+    if (!client->stream_.broken() && client->has_stalled()) close_stalled(*client, "memory is short");
   }
 }
 
+void ClientListener::close_stalled(ClientConnection& client, std::string_view why) {
+  log_("client", "{}: connection closed: {} bytes unread and nothing read for {:.1f} s, {}",
+       text_of(client.stream_.peer()), client.stream_.unsent(),
+       scheduler_.now() - client.stream_.stalled_since(), why);
+  client.slow_reader_ = true;
+  client.stream_.close();
+}
+
 // While large messages wait for memory, half-closes connections whose messages hold it: those that have
 // stopped arriving, or else the slowest one.
 Task ClientListener::end_slow_messages() {
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -78,6 +78,8 @@
   Task accept_all();
   Task relieve_memory();
   void close_stalled_clients();
+  bool close_longest_stalled();
+  void close_stalled(ClientConnection& client, std::string_view why);
   Task end_slow_messages();
   static bool may_end_message(ClientConnection& client);
   void end_message(ClientConnection& client);
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -98,8 +98,7 @@
   if (client->is_open() && client->requests() >= ClientConnection::kMaxOpenRequests)
     throw_bad_value("tag (too many open requests)", tag);
   // The client's time limit runs from when it sent the request, which may have waited before it was read.
-  const Seconds sent_at =
-      scheduler_.now() - std::max(scheduler_.max_input_delay(), client->max_accept_delay_);
+  const Seconds sent_at = scheduler_.now() - std::max(scheduler_.max_input_delay(), client->max_read_delay_);
   Request request;
   try {
     request = parse_request(words, classes_, open_ids_, sent_at);
