Input buffers that never run empty shrink once they are less than half full

Callers saw: beside some hundred clients that send without a pause a router of 32 MB passes its limit. Cause: Stream kept what was consumed in front of the rest until it was 64 KB, so a buffer that never ran empty had up to 128 KB, which no budget counted. Change: a buffer above 4 KB is replaced once it is less than half full, and the consumed part is dropped once it is as long as the rest.

--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -154,7 +154,7 @@
 Stream::ReadResult Stream::read(std::size_t max_bytes) {
   if (broken_) return ReadResult::end;
   auto& buffer = outbox_.read_buffer();
-  if (in_from_ > buffer.size()) in_.erase(0, std::exchange(in_from_, 0));
+  if (in_from_ >= in().size()) in_.erase(0, std::exchange(in_from_, 0));
   const auto got = receive(fd_.get(), buffer.data(), std::min(buffer.size(), max_bytes));
   const int error_number = errno;
   if (got > 0) {
@@ -201,16 +201,16 @@
 void Stream::consume(std::size_t bytes) {
   in_from_ += bytes;
   outbox_.budget().remove(bytes);
-  if (in_from_ == in_.size()) release_input();
+  shrink_input();
 }
 
-// An empty buffer that has grown for a large message is freed: hundreds of idle connections would hold more
-// than all messages that are being received.
-void Stream::release_input() {
+// A buffer that has grown for large messages is replaced once it is less than half full: hundreds of
+// connections would hold more in such buffers than all messages that are being received.
+void Stream::shrink_input() {
   constexpr std::size_t kMaxKeptBytes = 4096;
-  in_.clear();
+  if (in_.capacity() <= kMaxKeptBytes || in().size() >= in_.capacity() / 2) return;
+  std::string(in()).swap(in_);
   in_from_ = 0;
-  if (in_.capacity() > kMaxKeptBytes) std::string().swap(in_);
 }
 
 namespace {
--- a/src/io/stream.h
+++ b/src/io/stream.h
@@ -171,7 +171,7 @@
   void on_ready(std::uint32_t epoll_events) override;
   void output_accepted(std::size_t bytes);
   void update_backlog();
-  void release_input();
+  void shrink_input();
   std::size_t unsent_with(unsigned long kernel_count) const;
 
   Scheduler& scheduler_;
