Clients that send at full speed share a part of each turn

Callers saw: beside one client that sends malformed requests at full speed, answers 0.3 s after a limit of 0.1 s; beside 500 such clients the program ends 4.8 s after SIGTERM. Cause: a client was read for 256 KB a turn, some 7,000 messages of 24 us each (exceptions of the parser, by perf), and all ready clients in one turn; accepting went on while connections came. Change: a read of small messages takes 1 KB; a client has 0.5 ms at once, and those that used it up share 5 ms a turn (TurnBudget); accepting stops after 5 ms. Why this works: a client that sends now and then waits for one turn, whose length no longer grows with the number of others.

--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -131,6 +131,7 @@
   std::size_t messages_while_ending_ = 0;  // whole messages that were read in the phase `ending`
   bool framing_lost_ = false;       // bytes were received that are no message: what follows cannot be read
   std::size_t reply_bytes_ = 0;     // replies without a body since the client had last read all
+  Seconds bulk_until_ = 0;          // until then the client counts as one that sends at full speed
   Seconds paused_since_ = kNoTime;  // since when messages are left with the kernel
   // Longest time that unread messages may have waited before the accept, or while reading was paused.
   Seconds max_read_delay_ = 0;
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -15,6 +15,14 @@
 
 namespace {
 
+// Clients that send at full speed may take so much of a turn together.
+constexpr Seconds kBulkReadingPerTurn = 0.005;
+// A client that has just been idle may be read for so long at once, and a series of accepts may take so long.
+constexpr Seconds kReadingSlice = 0.0005;
+constexpr Seconds kAcceptSlice = 0.005;
+// A client that has used up its slice counts as sending at full speed for so long.
+constexpr Seconds kBulkPeriod = 0.1;
+
 // Large messages that are not complete may take one part in so many of the memory for buffers.
 constexpr std::size_t kUnfinishedMessagesShare = 2;
 
@@ -51,6 +59,7 @@
       outbox_(outbox),
       log_(log),
       limits_(limits),
+      bulk_reading_(scheduler, kBulkReadingPerTurn),
       unfinished_messages_(scheduler, outbox.budget().limit() / kUnfinishedMessagesShare),
       messages_(scheduler, outbox.budget(), log, limits.requests, std::move(classes), std::move(serve)),
       listener_(scheduler, std::move(listener)) {
@@ -83,10 +92,14 @@
 
 Task ClientListener::accept_all() {
   constexpr Seconds kPause = 0.02;  // without descriptors or memory, until some connections may have closed
-  while (listener_.open()) {
+  Event next_turn(scheduler_);
+  for (Seconds slice_began = scheduler_.now_uncached(); listener_.open();) {
     Fd socket = listener_.accept();
     if (socket) {
       accepted(std::move(socket));
+      if (scheduler_.now_uncached() < slice_began + kAcceptSlice) continue;
+      co_await next_turn.wait(scheduler_.now());
+      slice_began = scheduler_.now_uncached();
       continue;
     }
     const int error = errno;
@@ -97,10 +110,12 @@
            connections_.size());
       if (error == EMFILE || error == ENFILE) evict_client();
       co_await listener_.input_ready.wait(scheduler_.now() + kPause);
+      slice_began = scheduler_.now_uncached();
       continue;
     }
     accept_failing_since_ = kNoTime;
     co_await listener_.input_ready.wait();
+    slice_began = scheduler_.now_uncached();
   }
 }
 
@@ -174,20 +189,19 @@
 
 Task ClientListener::run_connection(std::shared_ptr<ClientConnection> client) {
   constexpr Seconds kEndPollInterval = 0.02;
-  constexpr int kReadsPerTurn = 4;  // then other connections are served
   auto& stream = client->stream_;
   const Registration registration(*this, *client);
   client->connected();
-  for (int reads = 0;;) {
-    const auto result = read(client);
+  Event next_turn(scheduler_);
+  for (;;) {
+    const bool is_bulk = scheduler_.now() < client->bulk_until_;
+    while (is_bulk && bulk_reading_.is_spent()) co_await next_turn.wait(scheduler_.now());
+    const auto result = read_slice(client, is_bulk);
     if (result == Stream::ReadResult::end) break;
     messages_.serve_deferred(client);
     if (!client->is_open() && may_close(*client)) break;
     if (result == Stream::ReadResult::bytes) {
-      ++reads;
-      if (reads % kReadsPerTurn != 0) continue;
-      Event turn(scheduler_);
-      co_await turn.wait(scheduler_.now());
+      co_await next_turn.wait(scheduler_.now());
       continue;
     }
     if (!client->is_open()) {
@@ -200,6 +214,21 @@
   connection_ended(*client);
 }
 
+// Reads until nothing more is there or the time is used up: then `bytes`, and the rest is read in a later
+// turn.
+Stream::ReadResult ClientListener::read_slice(const std::shared_ptr<ClientConnection>& client, bool is_bulk) {
+  const Seconds began = scheduler_.now_uncached();
+  auto result = Stream::ReadResult::bytes;
+  Seconds taken = 0;
+  while (result == Stream::ReadResult::bytes && taken < kReadingSlice) {
+    result = read(client);
+    taken = scheduler_.now_uncached() - began;
+  }
+  if (is_bulk) bulk_reading_.spend(taken);
+  if (taken >= kReadingSlice) client->bulk_until_ = scheduler_.now() + kBulkPeriod;
+  return result;
+}
+
 // Reads once and handles the whole messages that were received.
 Stream::ReadResult ClientListener::read(const std::shared_ptr<ClientConnection>& client) {
   auto& stream = client->stream_;
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -13,6 +13,7 @@
 #include "io/listener.h"
 #include "io/log.h"
 #include "io/scheduler.h"
+#include "io/turn_budget.h"
 #include "net/client_connection.h"
 #include "net/client_messages.h"
 #include "net/client_request.h"
@@ -87,6 +88,7 @@
   void end_slowest_message();
   void accepted(Fd socket);
   Task run_connection(std::shared_ptr<ClientConnection> client);
+  Stream::ReadResult read_slice(const std::shared_ptr<ClientConnection>& client, bool is_bulk);
   Stream::ReadResult read(const std::shared_ptr<ClientConnection>& client);
   bool close_if_silent(ClientConnection& client);
   void connection_ended(ClientConnection& client);
@@ -101,6 +103,7 @@
   Outbox& outbox_;
   Log& log_;
   const Limits limits_;
+  TurnBudget bulk_reading_;  // time for clients that send at full speed
   routing::OutputAdmission admission_;
   BufferBudget unfinished_messages_;  // memory for large messages that are not complete
   ClientMessages messages_;
--- a/src/net/message_intake.cpp
+++ b/src/net/message_intake.cpp
@@ -6,9 +6,9 @@
 namespace walkpaddle::net {
 
 std::size_t MessageIntake::max_read_bytes() const {
-  if (holds_memory()) return std::max(missing_.bytes, kUnreservedBytes);
+  if (holds_memory()) return std::max(missing_.bytes, kReadBytes);
   if (awaits_memory()) return rest_has_arrived() ? missing_.bytes : 0;
-  return kUnreservedBytes - std::min(stream_.in().size(), kUnreservedBytes - 1);
+  return kReadBytes;
 }
 
 bool MessageIntake::rest_has_arrived() const {
--- a/src/net/message_intake.h
+++ b/src/net/message_intake.h
@@ -21,6 +21,9 @@
   /// Size up to which a message is read without a reservation: that of a request without a body and some
   /// more. Connections are bounded in number, so these bytes are too.
   static constexpr std::size_t kUnreservedBytes = 4096;
+  /// Bytes that one read takes of small messages, so that a client which sends many of them at once does not
+  /// keep others waiting.
+  static constexpr std::size_t kReadBytes = 1024;
 
   /// `unfinished_messages`: the memory for large messages of all connections.
   MessageIntake(Stream& stream, BufferBudget& unfinished_messages)
