A request that may have run does not run again when its id returns

Callers saw: an id ran twice when it came again after its client had left, withdrawn it, or had its answer. Cause: an id was reserved while its request was open only; a second request with it was a new one. What never ran may come again. Why this works: ids are new with each request by the protocol, so one that returns names the same request.

--- a/src/guard/counters.h
+++ b/src/guard/counters.h
@@ -33,12 +33,14 @@
   late_answer,      ///< its answer could only come after its deadline, or after the end of the program
   no_memory,        ///< there was no memory for its body
   too_many_open,    ///< too many requests were open, of this client or of all
+  id_open,          ///< a request with its id was open
+  id_repeated,      ///< a request with its id had an effect, or may have had one
   connection_ends,  ///< it was read after the end of its connection had begun
   count             ///< number of enumerators above
 };
 /// Names of the reasons, by value.
 constexpr std::array<std::string_view, static_cast<std::size_t>(Unstarted::count)> kUnstartedNames = {
-    "late_answer", "no_memory", "too_many_open", "connection_ends"};
+    "late_answer", "no_memory", "too_many_open", "id_open", "id_repeated", "connection_ends"};
 /// The name of a reason in the log.
 constexpr std::string_view to_string(Unstarted reason) {
   return kUnstartedNames[static_cast<std::size_t>(reason)];
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -59,7 +59,11 @@
   };
   /// `expires` is the request's deadline as a point in time.
   RequestRecord(std::uint64_t id, Rule rule, Seconds expires) : id_(id), rule_(rule), expires_(expires) {}
-  std::uint64_t id() const { return id_; }              ///< id of the request
+  std::uint64_t id() const { return id_; }  ///< id of the request
+  /// Whether an attempt may have had an effect that must not happen again.
+  bool must_not_repeat() const {
+    return may_have_run_at_ >= 0 && rule_.idempotency != Idempotency::idempotent;
+  }
   void client_left() { client_left_ = true; }           ///< records that the client has left
   void purged(Seconds since) { valid_since_ = since; }  ///< records that copies made before are purged
   Seconds valid_since() const { return valid_since_; }  ///< copies made before are purged; 0: none are
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -92,6 +92,18 @@
   handle->client_left();
 }
 
+// The client is told that its request failed: a rejection would say that it did not run.
+void ClientMessages::refuse_id(ClientConnection& client, const Request& request, guard::IdRefusal refusal) {
+  const auto reason =
+      refusal == guard::IdRefusal::is_open ? guard::Unstarted::id_open : guard::Unstarted::id_repeated;
+  log_("request", "{}: failed before it started: {}", request.id_text, to_string(reason));
+  if (guard_ != nullptr) {
+    ++guard_->counters().failed;
+    guard_->counters().not_started(reason);
+  }
+  client.answer(request.tag, "ABORTED");
+}
+
 void ClientMessages::execute(const std::shared_ptr<ClientConnection>& client,
                              const std::vector<std::string_view>& words, const std::string& tag) {
   if (client->has_tag(tag)) throw_bad_value("tag (already open)", tag);
@@ -101,17 +113,19 @@
   const Seconds sent_at = scheduler_.now() - std::max(scheduler_.max_input_delay(), client->max_read_delay_);
   Request request;
   try {
-    request = parse_request(words, classes_, open_ids_, sent_at);
+    request = parse_request(words, classes_, sent_at);
   } catch (const InputError& e) {
     log_("request", "malformed request: {}", e.what());
     return client->answer(tag, "ABORTED");
   }
   if (stopped_ || !client->is_open()) return reject(*client, request, guard::Unstarted::connection_ends);
-  const auto other_requests = open_ids_.size() - 1;  // this one's id is reserved already
-  if (!quota_.admits(client->requests(), other_requests))
+  if (!quota_.admits(client->requests(), ids_.open()))
     return reject(*client, request, guard::Unstarted::too_many_open);
   if (request.body.size() > budget_.free_bytes())
     return reject(*client, request, guard::Unstarted::no_memory);
+  auto reservation = ids_.reserve(request.id);
+  if (!reservation) return refuse_id(*client, request, reservation.error());
+  request.id_reservation = std::move(*reservation);
   request.body_memory = BufferBudget::Lease(budget_, request.body.size());
   client->deferred_.push_back(std::move(request));
   serve_deferred(client);
--- a/src/net/client_messages.h
+++ b/src/net/client_messages.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "guard/guard.h"
+#include "guard/request_ids.h"
 #include "io/log.h"
 #include "io/scheduler.h"
 #include "net/client_connection.h"
@@ -21,7 +22,7 @@
 /// request) and ALIVE (a health check).
 ///
 /// Lifetimes: the scheduler, the budget, the log and the guard must outlive it. It must outlive the requests
-/// that it starts, because they are registered in its set of open ids. Threads: everything runs on the
+/// that it starts, because they are registered in its set of ids. Threads: everything runs on the
 /// scheduler's one thread.
 class ClientMessages {
  public:
@@ -56,6 +57,7 @@
  private:
   void handle(const std::shared_ptr<ClientConnection>& client, const std::vector<std::string_view>& words);
   void forget(ClientConnection& client, const std::string& tag);
+  void refuse_id(ClientConnection& client, const Request& request, guard::IdRefusal refusal);
   void execute(const std::shared_ptr<ClientConnection>& client, const std::vector<std::string_view>& words,
                const std::string& tag);
 
@@ -68,7 +70,7 @@
   const std::vector<config::RequestClassName> classes_;
   const Serve serve_;
   guard::Guard* guard_ = nullptr;
-  OpenId::Ids open_ids_;
+  guard::RequestIds ids_;
   std::string alive_reply_ = "UNREADY";
   Seconds answer_by_ = kNoTime;
   bool stopped_ = false;
--- a/src/net/client_request.cpp
+++ b/src/net/client_request.cpp
@@ -41,14 +41,8 @@
 
 }  // namespace
 
-OpenId::OpenId(Ids& ids, std::uint64_t id) : id_(id) {
-  if (!ids.insert(id).second) throw InputError("a request with this txn is already open");
-  ids_ = &ids;
-}
-
 Request parse_request(const std::vector<std::string_view>& words,
-                      const std::vector<config::RequestClassName>& classes, OpenId::Ids& open_ids,
-                      Seconds sent_at) {
+                      const std::vector<config::RequestClassName>& classes, Seconds sent_at) {
   constexpr int kMaxLimitMs = 3'600'000;         // far above the limit of any client
   constexpr int kMaxPart = 1'000'000;            // far above the number of parts of any object
   constexpr std::size_t kMaxBodyBytes = 48'000;  // body of a write
@@ -76,7 +70,6 @@
   if (words.size() > 4) request.body = words[4];
   if (request.body.size() > kMaxBodyBytes)
     throw_bad_value("size of body", std::to_string(request.body.size()));
-  request.open_id = OpenId(open_ids, request.id);
   return request;
 }
 
--- a/src/net/request_handler.cpp
+++ b/src/net/request_handler.cpp
@@ -45,7 +45,7 @@
 class RequestTask {
  public:
   RequestTask(Scheduler& scheduler, Log& log, RequestDispatcher& dispatcher, UpstreamPool& upstream,
-              ClientConnection& client, const Request& request, double transfer_rate);
+              ClientConnection& client, Request& request, double transfer_rate);
   RequestTask(const RequestTask&) = delete;
   RequestTask& operator=(const RequestTask&) = delete;
   ~RequestTask();
@@ -72,7 +72,7 @@
   RequestDispatcher& dispatcher_;
   UpstreamPool& upstream_;
   ClientConnection& client_;
-  const Request& request_;
+  Request& request_;
   const double transfer_rate_;
   const std::uint64_t object_;
   guard::Guard& guard_;
@@ -83,7 +83,7 @@
 };
 
 RequestTask::RequestTask(Scheduler& scheduler, Log& log, RequestDispatcher& dispatcher,
-                         UpstreamPool& upstream, ClientConnection& client, const Request& request,
+                         UpstreamPool& upstream, ClientConnection& client, Request& request,
                          double transfer_rate)
     : scheduler_(scheduler),
       log_(log),
@@ -101,6 +101,7 @@
 }
 
 RequestTask::~RequestTask() {
+  if (handle_.record().must_not_repeat()) request_.id_reservation.remember();
   if (closed_ || handle_.has_client_left()) return;
   try {
     if (may_answer()) client_.answer(request_.tag, "ABORTED");
