Requests of a client that has closed its connection are not started

Callers saw: a client wrote requests and much else and closed its connection while the router stood still; its requests were sent on 0.3 s later. Cause: each request was started as soon as it was read, and the end of the connection was found only behind all that was read before it. Change: requests start when the client's input pauses, or 0.05 s after they were read; before that the connection is asked whether the peer has closed it (POLLRDHUP), and if it has, they are dropped, logged and counted as client_left. Why this works: the kernel tells of the end as soon as it has received it, however much is unread before it. What a client's own kernel still holds cannot be seen; it is read ahead for 0.05 s.

--- a/src/guard/counters.h
+++ b/src/guard/counters.h
@@ -35,12 +35,13 @@
   too_many_open,    ///< too many requests were open, of this client or of all
   id_open,          ///< a request with its id was open
   id_repeated,      ///< a request with its id had an effect, or may have had one
+  client_left,      ///< its client had closed the connection
   connection_ends,  ///< it was read after the end of its connection had begun
   count             ///< number of enumerators above
 };
 /// Names of the reasons, by value.
 constexpr std::array<std::string_view, static_cast<std::size_t>(Unstarted::count)> kUnstartedNames = {
-    "late_answer", "no_memory", "too_many_open", "id_open", "id_repeated", "connection_ends"};
+    "late_answer", "no_memory", "too_many_open", "id_open", "id_repeated", "client_left", "connection_ends"};
 /// The name of a reason in the log.
 constexpr std::string_view to_string(Unstarted reason) {
   return kUnstartedNames[static_cast<std::size_t>(reason)];
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -197,8 +197,10 @@
     const bool is_bulk = scheduler_.now() < client->bulk_until_;
     while (is_bulk && bulk_reading_.is_spent()) co_await next_turn.wait(scheduler_.now());
     const auto result = read_slice(client, is_bulk);
-    if (result == Stream::ReadResult::end) break;
-    messages_.serve_deferred(client);
+    // A client that has closed its connection awaits nothing, whatever it had written before.
+    const bool has_left = !client->deferred_.empty() && stream.peer_has_closed();
+    if (result == Stream::ReadResult::end || has_left) break;
+    messages_.serve_deferred(client, result == Stream::ReadResult::bytes);
     if (!client->is_open() && may_close(*client)) break;
     if (result == Stream::ReadResult::bytes) {
       co_await next_turn.wait(scheduler_.now());
@@ -274,6 +276,7 @@
   if (client.is_open())
     count_close(client.slow_reader_ ? guard::ClientClose::slow_reader : guard::ClientClose::by_client);
   client.stream_.close();
+  messages_.drop_deferred(client);
   client.notify_client_left();
 }
 
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -12,11 +12,13 @@
 // Requests are deferred while the answers that their client has not read take too much memory. Its messages
 // are still read, because it may withdraw requests or disconnect. Requests behind the first one that waits
 // can only be rejected.
-void ClientMessages::serve_deferred(const std::shared_ptr<ClientConnection>& client) {
+void ClientMessages::serve_deferred(const std::shared_ptr<ClientConnection>& client, bool input_continues) {
+  constexpr Seconds kMaxReadAhead = 0.05;  // half of what an attempt may begin after its client has left
   using Verdict = routing::OutputAdmission::Verdict;
   auto& deferred = client->deferred_;
   std::size_t waiting = 0;
   while (waiting < deferred.size() && !stopped_) {
+    if (input_continues && scheduler_.now() < deferred[waiting].read_at + kMaxReadAhead) break;
     const auto verdict =
         client->admission_.decide(client->output(), waiting, budget_.free_bytes(),
                                   std::min(deferred[waiting].deadline, answer_by_), scheduler_.now());
@@ -36,6 +38,15 @@
   if (!deferred.empty()) client->stream_.wake_on_output();
 }
 
+void ClientMessages::drop_deferred(ClientConnection& client) {
+  for (const auto& request : std::exchange(client.deferred_, {})) {
+    log_("shed", "{}: not started: {}", request.id_text, to_string(guard::Unstarted::client_left));
+    if (guard_ == nullptr) continue;
+    ++guard_->counters().left;
+    guard_->counters().not_started(guard::Unstarted::client_left);
+  }
+}
+
 // Answers a request that was not started.
 void ClientMessages::reject(ClientConnection& client, const Request& request, guard::Unstarted reason) {
   log_("shed", "{}: rejected before it started: {}; its client has {} bytes unread, {} bytes are free",
@@ -118,6 +129,7 @@
     log_("request", "malformed request: {}", e.what());
     return client->answer(tag, "ABORTED");
   }
+  request.read_at = scheduler_.now();
   if (stopped_ || !client->is_open()) return reject(*client, request, guard::Unstarted::connection_ends);
   if (!quota_.admits(client->requests(), ids_.open()))
     return reject(*client, request, guard::Unstarted::too_many_open);
@@ -128,7 +140,6 @@
   request.id_reservation = std::move(*reservation);
   request.body_memory = BufferBudget::Lease(budget_, request.body.size());
   client->deferred_.push_back(std::move(request));
-  serve_deferred(client);
 }
 
 }  // namespace walkpaddle::net
--- a/src/net/client_messages.h
+++ b/src/net/client_messages.h
@@ -49,8 +49,11 @@
   /// Handles all whole messages that were received on a connection. A malformed message ends the connection:
   /// requests behind it are rejected.
   void take(const std::shared_ptr<ClientConnection>& client);
-  /// Starts or rejects those deferred requests that need not wait any longer.
-  void serve_deferred(const std::shared_ptr<ClientConnection>& client);
+  /// Starts or rejects those deferred requests that need not wait any longer. `input_continues`: more bytes
+  /// of the client are probably there already; its end may be behind them, so requests wait for a moment.
+  void serve_deferred(const std::shared_ptr<ClientConnection>& client, bool input_continues);
+  /// Drops the deferred requests of a client that has left.
+  void drop_deferred(ClientConnection& client);
   /// Requests must be answered by this time, whatever their deadline, because the program ends.
   void set_answer_by(Seconds time) { answer_by_ = time; }
 
--- a/src/net/client_request.h
+++ b/src/net/client_request.h
@@ -31,6 +31,7 @@
   std::uint32_t group = 0;      ///< the object's group, for purges
   bool uncacheable = false;     ///< requests of the class bypass the caches
   bool has_effect = false;      ///< requests of the class are not idempotent
+  Seconds read_at = 0;          ///< when it was read, on the scheduler's clock
   Seconds deadline = 0;         ///< end of the client's time limit, on the scheduler's clock
   guard::RequestIds::Reservation id_reservation;     ///< reserves the id until the request has ended
   BufferBudget::Lease body_memory;                   ///< counts the body
