An endpoint whose address another one has taken counts as gone

Callers saw: a new server of another location came up at the address of one that had gone, and requests went to it under the old one's name. Cause: discovery told of the new one before it told the old one gone, or never did; until then both were listed at one address, and a connection does not say who answers. Change: AddressOwners follows who is listed where; what an endpoint list places at an address that another endpoint held, and that the list does not name, makes the other one gone for the pool, the purges, the policy and the fleet's observations, with a log line. Endpoints that one list names at one address stay. The fixture of connection_races gives each endpoint a port of its own, as the platform does.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -41,6 +41,7 @@
 void DiscoveryClient::begin_endpoint_list(bool whole) {
   list_is_whole_ = whole;
   in_list_.clear();
+  address_owners_.begin_list();
   dispatcher_.input().begin_endpoint_list(whole);
 }
 
@@ -48,13 +49,32 @@
                                       int cell, EndpointState state, double weight, Seconds started) {
   const int endpoint = upstream_.endpoint_index(id);
   if (list_is_whole_) in_list_.insert(endpoint);
-  upstream_.update_endpoint(endpoint, address, state);
-  dispatcher_.purges().delivery().set_listed(endpoint, state != EndpointState::gone);
-  dispatcher_.input().update_endpoint(endpoint, stable_hash(id), location, kind, cell, state, weight,
-                                      clock_.started_at(endpoint, started, scheduler_.now()));
-  if (observations_ == nullptr) return;
-  observations_->update_listing(endpoint, {stable_hash(id), location, kind, cell, state, weight, started},
-                                scheduler_.now());
+  address_owners_.update(endpoint, address, state != EndpointState::gone);
+  apply_listing(endpoint, address, {stable_hash(id), location, kind, cell, state, weight, started});
+}
+
+void DiscoveryClient::apply_listing(int endpoint, const Address& address, const Listing& listing) {
+  const auto index = static_cast<std::size_t>(endpoint);
+  if (index >= listings_.size()) listings_.resize(index + 1);
+  listings_[index] = listing;
+  const Seconds started = clock_.started_at(endpoint, listing.started, scheduler_.now());
+  upstream_.update_endpoint(endpoint, address, listing.state);
+  dispatcher_.purges().delivery().set_listed(endpoint, listing.state != EndpointState::gone);
+  dispatcher_.input().update_endpoint(endpoint, listing.hash, listing.location, listing.kind, listing.cell,
+                                      listing.state, listing.weight, started);
+  if (observations_ != nullptr) observations_->update_listing(endpoint, listing, scheduler_.now());
+}
+
+// An endpoint whose address another one has taken is gone, though discovery has not told so yet. Its requests
+// would reach the other one under its name.
+void DiscoveryClient::end_superseded() {
+  for (const int endpoint : address_owners_.end_list()) {
+    const auto& address = upstream_.address(endpoint);
+    log_("bus", "{} is gone: another endpoint has its address {}", upstream_.id(endpoint), text_of(address));
+    auto listing = listings_[static_cast<std::size_t>(endpoint)];
+    listing.state = EndpointState::gone;
+    apply_listing(endpoint, address, listing);
+  }
 }
 
 // Endpoints that a complete list does not contain are gone, for queued attempts as well as for the policy.
@@ -62,8 +82,10 @@
   for (int endpoint = 0; list_is_whole_ && endpoint < upstream_.endpoint_count(); ++endpoint) {
     if (in_list_.contains(endpoint)) continue;
     upstream_.update_endpoint(endpoint, upstream_.address(endpoint), EndpointState::gone);
+    address_owners_.update(endpoint, upstream_.address(endpoint), false);
     dispatcher_.purges().delivery().set_listed(endpoint, false);
   }
+  end_superseded();
   dispatcher_.input().end_endpoint_list();
   apply_observations();
 }
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -8,8 +8,10 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include "io/log.h"
+#include "net/address_owners.h"
 #include "net/discovery_clock.h"
 #include "net/discovery_codec.h"
 #include "net/request_dispatcher.h"
@@ -72,6 +74,9 @@
     std::string why = "closed";         // why the connection ended, for the log
   };
 
+  using Listing = replica::ObservationTracker::Listing;
+  void apply_listing(int endpoint, const Address& address, const Listing& listing);
+  void end_superseded();
   Task follow_all();
   Fd dial_with_spare();
   void hold_spare();
@@ -94,7 +99,9 @@
   bool has_initial_list_ = false;
   bool list_is_whole_ = false;       // whether the list that is being received is complete
   std::unordered_set<int> in_list_;  // endpoints of that list so far
-  Stream* stream_ = nullptr;         // the current connection; null: none
+  std::vector<Listing> listings_;    // the last entry of each endpoint
+  AddressOwners address_owners_;
+  Stream* stream_ = nullptr;  // the current connection; null: none
   replica::ObservationTracker* observations_ = nullptr;
   Event reconnect_now_;
   // A reserved descriptor, released when a dial finds no other. Without it clients and attempts could take
--- a/tests/cache_server.h
+++ b/tests/cache_server.h
@@ -44,6 +44,11 @@
     listener_.close();
     for (const auto& connection : connections_) connection->stream.close();
   }
+  // Ends like a machine that is lost: nobody listens, and the connections stay open and silent.
+  void vanish() {
+    listener_.close();
+    silent_ = true;
+  }
   // All requests, in the order in which they came.
   const std::vector<Received>& received() const { return received_; }
   int times_received(const std::string& id) const {
--- a/tests/connection_races.cpp
+++ b/tests/connection_races.cpp
@@ -878,7 +878,8 @@
 namespace {
 
 std::string endpoint(int id, AnnouncedState state) {
-  return endpoint_record(static_cast<unsigned>(id), 9, state, 1, 0);
+  constexpr int kFirstPort = 9;  // each endpoint has a port of its own
+  return endpoint_record(static_cast<unsigned>(id), kFirstPort + id, state, 1, 0);
 }
 
 // A discovery client; the scenario plays the server.
