Connections from before an endpoint's start are not used for new attempts

A machine is lost without a word and a new process starts at its address; its connections stay open here, and new attempts went over them to nobody. Cause: UpstreamPool retired connections only when the address changed or the endpoint was gone; a new start at the same address was told to the policy alone. Change: connections that were established before the start that discovery tells take no new attempts; closed ones are counted as restarted.

--- a/src/guard/counters.h
+++ b/src/guard/counters.h
@@ -59,12 +59,13 @@
   answer_stopped,   ///< an answer stopped before its end
   moved_or_gone,    ///< the endpoint's address changed or it is gone, by discovery
   silent,           ///< an answer was due and nothing arrived
+  restarted,        ///< the endpoint has started anew since, by discovery
   count             ///< number of enumerators above
 };
 /// Names of the reasons, by value.
 constexpr std::array<std::string_view, static_cast<std::size_t>(EndpointClose::count)> kEndpointCloseNames = {
-    "by_endpoint",     "refused",         "not_up_in_time", "idle",          "made_room",
-    "answer_unusable", "answer_trickles", "answer_stopped", "moved_or_gone", "silent"};
+    "by_endpoint",     "refused",        "not_up_in_time", "idle",   "made_room", "answer_unusable",
+    "answer_trickles", "answer_stopped", "moved_or_gone",  "silent", "restarted"};
 
 /// All counters, from the start of the program.
 struct Counters {
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -59,6 +59,7 @@
   listings_[index] = listing;
   const Seconds started = clock_.started_at(endpoint, listing.started, scheduler_.now());
   upstream_.update_endpoint(endpoint, address, listing.state);
+  upstream_.endpoint_started(endpoint, started);
   dispatcher_.purges().delivery().set_listed(endpoint, listing.state != EndpointState::gone);
   dispatcher_.input().update_endpoint(endpoint, listing.hash, listing.location, listing.kind, listing.cell,
                                       listing.state, listing.weight, started);
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -47,6 +47,7 @@
 
 void UpstreamConnection::set_connected() {
   connected_ = true;
+  connected_at_ = scheduler_.now();
   last_received_at_ = scheduler_.now();
   used_at_ = last_received_at_;
   progress_at_ = last_received_at_;
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -77,6 +77,8 @@
   /// The byte stream.
   Stream& stream() { return stream_; }
   const Stream& stream() const { return stream_; }  ///< the byte stream, for reading its state
+  /// When the connection was established.
+  Seconds connected_at() const { return connected_at_; }
   /// When bytes were last received, or else when the connection was established.
   Seconds last_received_at() const { return last_received_at_; }
   /// When an attempt was last written or an answer received, or else when the connection was established.
@@ -164,6 +166,7 @@
       open_;                                   // by request; null: released, an answer may still arrive
   std::deque<std::uint64_t> late_answer_ids_;  // ids of the latest released ones, oldest first
   std::size_t in_flight_ = 0;                  // number of attempts that were not released
+  Seconds connected_at_ = 0;
   Seconds last_received_at_ = 0;
   Seconds used_at_ = 0;
   std::uint64_t answers_ = 0;          // number of whole answers received
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -88,14 +88,26 @@
   return it == index_.end() ? -1 : it->second;
 }
 
+namespace {
+
+// Attempts in flight go on; new ones use new connections.
+void retire(UpstreamConnection& connection, guard::EndpointClose reason) {
+  connection.retire(reason);
+  if (connection.is_connected() && connection.in_flight() == 0) connection.stream().close();
+}
+
+}  // namespace
+
+void UpstreamPool::endpoint_started(int index, Seconds at) {
+  for (auto* connection : endpoint(index).connections)
+    if (connection->usable() && connection->connected_at() < at)
+      retire(*connection, guard::EndpointClose::restarted);
+}
+
 void UpstreamPool::update_endpoint(int index, const Address& address, EndpointState state) {
   auto& changed = endpoint(index);
-  if (changed.address != address || state == EndpointState::gone) {
-    for (auto* connection : changed.connections) {  // attempts in flight go on; new ones use new connections
-      connection->retire(guard::EndpointClose::moved_or_gone);
-      if (connection->is_connected() && connection->in_flight() == 0) connection->stream().close();
-    }
-  }
+  if (changed.address != address || state == EndpointState::gone)
+    for (auto* connection : changed.connections) retire(*connection, guard::EndpointClose::moved_or_gone);
   changed.address = address;
   changed.state = state;
   if (state == EndpointState::ready) return;
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -57,6 +57,9 @@
   /// Updates an endpoint from discovery. If it is no longer ready, unsent attempts at it or with it as their
   /// source are abandoned.
   void update_endpoint(int index, const Address& address, EndpointState state);
+  /// The endpoint has started at this time. Connections from before lead to a process that is gone, also if
+  /// nothing was heard of their end: new attempts use other ones.
+  void endpoint_started(int index, Seconds at);
 
   /// Sets the receiver of answers to commands, which must outlive the pool's tasks.
   void set_command_listener(CommandListener& listener) { command_listener_ = &listener; }
--- a/tests/reused_address.cpp
+++ b/tests/reused_address.cpp
@@ -159,3 +159,29 @@
   d.run(scenario());
   CHECK(late == 0);
 }
+
+// Prevents that connections to a machine that was lost are used for the server that has started in its place.
+TEST_CASE("given a server that has started anew, then connections to the one before are not used") {
+  Deployment d;
+  int late = 0;
+  const auto scenario = [&]() -> Task {
+    Event poll(d.scheduler);
+    while (!d.router.ready()) co_await poll.wait(d.scheduler.now() + kPollInterval);
+    PLAY_FOR(1);
+    CHECK(!d.old_server->received().empty());
+    d.old_server->vanish();
+    co_await poll.wait(d.scheduler.now() + 0.05);
+    d.start_new_server();
+    const auto unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    d.discovery.publish_changes(endpoint_record(1, d.reused_port, AnnouncedState::ready, kEdge, kCache,
+                                                static_cast<std::uint64_t>(unix_ms.count())));
+    const Seconds told_at = now();
+    PLAY_FOR(1.5);
+    late = d.received_after(*d.old_server, told_at + kAllowed);
+    CHECK(!d.new_server->received().empty());
+    d.scheduler.stop();
+  };
+  d.run(scenario());
+  CHECK(late == 0);
+}
