A request that waits for capacity has one entry among the times to wake up

Callers saw: memory that grows with the time that requests wait. Cause: a request that waits is decided anew at each poll, each time its deadline is computed from the service times of the moment, and AdmissionQueue kept an entry for each different deadline: 156,081 entries, 7.4 MB, after 3 s with 2,000 waiting requests (heaptrack). Change: RequestState::wake_at holds the one entry of a request, the earliest; a new request at the same index does not inherit it.

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -30,18 +30,34 @@
 void AdmissionQueue::request_decision_after(int index, Seconds pause) {
   constexpr Seconds kExpiryMargin = 0.01;
   const auto& request = requests_[static_cast<std::size_t>(index)];
-  due_.insert({std::min(context_.now + pause, request.expires - kExpiryMargin), index});
+  wake_by(index, std::min(context_.now + pause, request.expires - kExpiryMargin));
 }
 
 void AdmissionQueue::wait_for_capacity(int index, Seconds deadline) {
   waiting_for_capacity_.push_back(index);
-  due_.insert({deadline, index});
+  wake_by(index, deadline);
+}
+
+// A request is decided anew each time the host asks, and each time its deadline may differ; one entry for it
+// is enough.
+void AdmissionQueue::wake_by(int index, Seconds time) {
+  auto& request = requests_[static_cast<std::size_t>(index)];
+  if (time >= request.wake_at) return;
+  cancel_wake_up(index);
+  request.wake_at = time;
+  due_.insert({time, index});
+}
+
+void AdmissionQueue::cancel_wake_up(int index) {
+  auto& request = requests_[static_cast<std::size_t>(index)];
+  if (request.wake_at < kNever) due_.erase({request.wake_at, index});
+  request.wake_at = kNever;
 }
 
 void AdmissionQueue::wake_due() {
   while (!due_.empty() && due_.begin()->first <= context_.now) {
     const int index = due_.begin()->second;
-    due_.erase(due_.begin());
+    cancel_wake_up(index);
     request_decision(index);
   }
 }
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -3,6 +3,7 @@
 /// which load is shed.
 #pragma once
 
+#include <cstddef>
 #include <set>
 #include <utility>
 #include <vector>
@@ -38,6 +39,9 @@
   /// Queues a request that found no capacity: it is decided again in the next turn, and at `deadline`.
   void wait_for_capacity(int index, Seconds deadline);
 
+  /// Drops the time at which a request is to be queued, because its index is used for another request.
+  void cancel_wake_up(int index);
+
   /// Queues the requests whose time has come.
   void wake_due();
   /// Takes the requests to be decided now, including those that wait for capacity: highest priority per unit
@@ -45,12 +49,16 @@
   std::vector<int> take_ready();
   /// Time at which wake_due() must be called next; kNever if no request waits for a time.
   Seconds next_due() const { return due_.empty() ? kNever : due_.begin()->first; }
+  /// Number of requests that wait for a time.
+  std::size_t due_count() const { return due_.size(); }
 
  private:
+  void wake_by(int index, Seconds time);
+
   const PolicyContext& context_;
   std::vector<RequestState>& requests_;
   const ServiceTimes& service_times_;
-  std::set<std::pair<Seconds, int>> due_;
+  std::set<std::pair<Seconds, int>> due_;  // RequestState::wake_at of each request that has one
   std::vector<int> waiting_for_capacity_;
   std::vector<int> ready_;
 };
--- a/src/routing/policy.cpp
+++ b/src/routing/policy.cpp
@@ -180,6 +180,7 @@
 void Policy::request_received(int request, int request_class, std::uint64_t object, int part,
                               std::uint32_t group, double kbytes, Seconds expires, bool is_retry) {
   if (request >= static_cast<int>(requests_.size())) requests_.resize(static_cast<std::size_t>(request) + 1);
+  queue_.cancel_wake_up(request);
   auto& received = at(request);
   received = {.open = true,
               .size_from_client = kbytes > 0,
--- a/src/routing/request_state.h
+++ b/src/routing/request_state.h
@@ -52,6 +52,7 @@
   double represented_requests = 0;       ///< of a lookup: number of represented requests; otherwise 0
   Seconds received_at = 0;               ///< time of receipt
   Seconds expires = 0;                   ///< deadline, as a point in time
+  Seconds wake_at = kNever;              ///< when it is queued for a decision at the latest; kNever: not set
   Seconds may_have_run_at = kNever;      ///< sending time of the first attempt that may have run
   int may_have_run_on = -1;              ///< endpoint of that attempt
   Seconds valid_since = 0;               ///< copies made earlier are purged; 0: none are
