Counting what the kernel holds of a message copies nothing

Cause: MessageIntake looks how much of a message has arrived each time more comes, and the look copied all of it. Change: MSG_TRUNC (tcp(7)) beside MSG_PEEK.

--- a/src/io/stream.cpp
+++ b/src/io/stream.cpp
@@ -187,8 +187,9 @@
 std::size_t Stream::available(std::size_t max_bytes) const {
   if (broken_) return 0;
   auto& buffer = outbox_.read_buffer();
-  const auto got =
-      receive(fd_.get(), buffer.data(), std::min(buffer.size(), max_bytes), MSG_PEEK | MSG_DONTWAIT);
+  // With MSG_TRUNC a TCP socket counts the bytes without copying them (tcp(7)).
+  constexpr int kFlags = MSG_PEEK | MSG_TRUNC | MSG_DONTWAIT;
+  const auto got = receive(fd_.get(), buffer.data(), std::min(buffer.size(), max_bytes), kFlags);
   return got > 0 ? static_cast<std::size_t>(got) : 0;
 }
 
