Buffers of connections take no more than what is counted of them

Callers saw: 42 MB of 32 beside 700 clients that ask for objects of 240,000 bytes and read nothing. Cause: the budget counts bytes, and two buffers take more. OutputBuffer frees chunks of 64 KB as a whole, so each of 504 clients kept one for whatever of it was unsent, and the last chunk grew by doubling; an endpoint's connection allocated the buffer for an answer before its memory was granted (heaptrack: 24.6 MB of heap, 10.8 of it in Stream::expect, 9.8 in OutputBuffer, for 8.4 counted). Change: chunks of 16 KB, allocated whole; the buffer comes with the grant.

--- a/src/io/output_buffer.cpp
+++ b/src/io/output_buffer.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::size_t kChunkBytes = std::size_t{64} * 1024;
+// A chunk is freed as a whole: the first one of each stream takes so much, however little of it is unsent.
+constexpr std::size_t kChunkBytes = std::size_t{16} * 1024;
 
 }  // namespace
 
@@ -16,6 +17,8 @@
     if (chunks_.empty() || chunks_.back().size() >= kChunkBytes) chunks_.emplace_back();
     auto& chunk = chunks_.back();
     const auto part = bytes.substr(0, kChunkBytes - chunk.size());
+    const auto size = chunk.size() + part.size();
+    if (size > chunk.capacity() && size > kChunkBytes / 2) chunk.reserve(kChunkBytes);
     chunk.append(part);
     bytes.remove_prefix(part.size());
   }
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -138,9 +138,9 @@
   const auto missing = missing_resp_bytes(stream_.in()).bytes;
   if (missing <= kUnreservedBytes) return answer_memory_.release();
   if (missing <= answer_memory_.bytes()) return answer_memory_.reduce_to(missing);
-  stream_.expect(stream_.in().size() + missing);
   answer_memory_.request(missing);
-  if (awaits_memory()) stop_reading();
+  if (awaits_memory()) return stop_reading();
+  stream_.expect(stream_.in().size() + missing);
 }
 
 void UpstreamConnection::stop_reading() {
@@ -151,6 +151,7 @@
 
 void UpstreamConnection::resume_reading() {
   if (waiting_since_ >= kNoTime) return;
+  stream_.expect(stream_.in().size() + answer_memory_.bytes());
   memory_wait_ += scheduler_.now() - std::exchange(waiting_since_, kNoTime);
   progress_at_ = scheduler_.now();
 }
