A repeated id is refused before anything else is, and reading delays count in one place

A request that had run was answered REJECT, which says that it did not, when its id returned on a connection that was ending or while too many requests were open: the id was looked at last. And the time limit of a request ran from its reading, though it may have waited in the listener's queue behind many accepts, or while its client had used up its share of the turn. Change: the id comes first; ClientConnection::unread_since_ says since when messages may have been waiting, whatever left them unread, and counts against their limits.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -68,15 +68,8 @@
   return reply_bytes_ > kMaxReplyBytes && stream_.unsent() > 0;
 }
 
-void ClientConnection::reading_paused() {
-  paused_since_ = std::min(paused_since_, scheduler_.now());
-  stream_.wake_on_output();
-}
-
-void ClientConnection::reading_resumed() {
-  if (paused_since_ >= kNoTime) return;
-  max_read_delay_ = std::max(max_read_delay_, scheduler_.now() - std::exchange(paused_since_, kNoTime));
-}
+// Messages may wait with the kernel from now on. Their time limits run meanwhile.
+void ClientConnection::input_left_unread() { unread_since_ = std::min(unread_since_, scheduler_.now()); }
 
 // What arrives on a half-closed connection is discarded, so it takes no memory.
 std::size_t ClientConnection::max_read_bytes() const {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -102,8 +102,8 @@
   bool has_stopped_reading();
   bool may_read() const;
   bool has_unread_replies() const;
-  void reading_paused();
-  void reading_resumed();
+  void input_left_unread();
+  Seconds read_delay() const { return std::max(0.0, scheduler_.now() - unread_since_); }
   std::size_t max_read_bytes() const;
   bool has_stopped_sending() const;
   void discard_input();
@@ -132,12 +132,10 @@
   bool framing_lost_ = false;       // bytes were received that are no message: what follows cannot be read
   std::size_t reply_bytes_ = 0;     // replies without a body since the client had last read all
   Seconds bulk_until_ = 0;          // until then the client counts as one that sends at full speed
-  Seconds paused_since_ = kNoTime;  // since when messages are left with the kernel
-  // Longest time that unread messages may have waited before the accept, or while reading was paused.
-  Seconds max_read_delay_ = 0;
-  Seconds last_received_at_ = 0;  // when the client connected or last completed a message
-  Seconds last_answered_at_ = 0;  // when an answer was last written
-  MessageProgress message_;       // the first message, or one of which a part was received
+  Seconds unread_since_ = kNoTime;  // since when messages may have been waiting to be read
+  Seconds last_received_at_ = 0;    // when the client connected or last completed a message
+  Seconds last_answered_at_ = 0;    // when an answer was last written
+  MessageProgress message_;         // the first message, or one of which a part was received
   MessageIntake intake_;
   AcknowledgementProgress acknowledgements_;
 };
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -98,6 +98,7 @@
     if (socket) {
       accepted(std::move(socket));
       if (scheduler_.now_uncached() < slice_began + kAcceptSlice) continue;
+      accept_backlog_since_ = std::min(accept_backlog_since_, scheduler_.now());
       co_await next_turn.wait(scheduler_.now());
       slice_began = scheduler_.now_uncached();
       continue;
@@ -105,7 +106,7 @@
     const int error = errno;
     if (error == EINTR || is_connection_error(error)) continue;
     if (error != EAGAIN) {
-      accept_failing_since_ = std::min(accept_failing_since_, scheduler_.now());
+      accept_backlog_since_ = std::min(accept_backlog_since_, scheduler_.now());
       log_("accept", "cannot accept a connection: {}; {} clients connected", std::strerror(error),
            connections_.size());
       if (error == EMFILE || error == ENFILE) evict_client();
@@ -113,7 +114,7 @@
       slice_began = scheduler_.now_uncached();
       continue;
     }
-    accept_failing_since_ = kNoTime;
+    accept_backlog_since_ = kNoTime;
     co_await listener_.input_ready.wait();
     slice_began = scheduler_.now_uncached();
   }
@@ -129,7 +130,7 @@
   ::setsockopt(socket.get(), SOL_SOCKET, SO_SNDBUF, &kKernelBufferBytes, sizeof kKernelBufferBytes);
   auto client = std::make_shared<ClientConnection>(scheduler_, outbox_, unfinished_messages_, admission_,
                                                    std::move(socket));
-  client->max_read_delay_ = std::max(0.0, scheduler_.now() - accept_failing_since_);
+  client->unread_since_ = accept_backlog_since_;
   connections_[client.get()] = client;
   scheduler_.start_isolated(run_connection(std::move(client)));
 }
@@ -195,7 +196,10 @@
   Event next_turn(scheduler_);
   for (;;) {
     const bool is_bulk = scheduler_.now() < client->bulk_until_;
-    while (is_bulk && bulk_reading_.is_spent()) co_await next_turn.wait(scheduler_.now());
+    while (is_bulk && bulk_reading_.is_spent()) {
+      client->input_left_unread();
+      co_await next_turn.wait(scheduler_.now());
+    }
     const auto result = read_slice(client, is_bulk);
     // A client that has closed its connection awaits nothing, whatever it had written before.
     const bool has_left = !client->deferred_.empty() && stream.peer_has_closed();
@@ -203,6 +207,7 @@
     messages_.serve_deferred(client, result == Stream::ReadResult::bytes);
     if (!client->is_open() && may_close(*client)) break;
     if (result == Stream::ReadResult::bytes) {
+      client->input_left_unread();
       co_await next_turn.wait(scheduler_.now());
       continue;
     }
@@ -235,10 +240,10 @@
 Stream::ReadResult ClientListener::read(const std::shared_ptr<ClientConnection>& client) {
   auto& stream = client->stream_;
   if (!client->may_read()) {
-    client->reading_paused();
+    client->input_left_unread();
+    stream.wake_on_output();
     return stream.peer_has_closed() ? Stream::ReadResult::end : Stream::ReadResult::nothing;
   }
-  client->reading_resumed();
   const auto max_bytes = client->max_read_bytes();
   if (max_bytes == 0) {
     client->note_arrivals();
@@ -246,7 +251,7 @@
   }
   const auto unread_before = stream.in().size();
   const auto result = stream.read(max_bytes);
-  if (result == Stream::ReadResult::nothing) client->max_read_delay_ = 0;  // later messages have not waited
+  if (result == Stream::ReadResult::nothing) client->unread_since_ = kNoTime;
   if (result != Stream::ReadResult::bytes) return result;
   const auto bytes_received = stream.in().size() - unread_before;
   messages_.take(client);
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -109,8 +109,9 @@
   ClientMessages messages_;
   guard::Guard* guard_ = nullptr;  // null: no counts, no checks
   std::size_t closing_ = 0;        // number of half-closed connections
-  // Start of the present series of failed accepts, while connections wait in the queue; kNoTime: none.
-  Seconds accept_failing_since_ = kNoTime;
+  // Since when connections may have been waiting in the listener's queue, because accepts failed or there
+  // were too many for one turn; kNoTime: none is.
+  Seconds accept_backlog_since_ = kNoTime;
   Listener listener_;
   std::unordered_map<ClientConnection*, std::weak_ptr<ClientConnection>> connections_;
 };
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -121,7 +121,7 @@
   if (client->is_open() && client->requests() >= ClientConnection::kMaxOpenRequests)
     throw_bad_value("tag (too many open requests)", tag);
   // The client's time limit runs from when it sent the request, which may have waited before it was read.
-  const Seconds sent_at = scheduler_.now() - std::max(scheduler_.max_input_delay(), client->max_read_delay_);
+  const Seconds sent_at = scheduler_.now() - std::max(scheduler_.max_input_delay(), client->read_delay());
   Request request;
   try {
     request = parse_request(words, classes_, sent_at);
@@ -130,13 +130,14 @@
     return client->answer(tag, "ABORTED");
   }
   request.read_at = scheduler_.now();
+  const auto other_requests = ids_.open();
+  auto reservation = ids_.reserve(request.id);  // first: what may have run must not be answered as rejected
+  if (!reservation) return refuse_id(*client, request, reservation.error());
   if (stopped_ || !client->is_open()) return reject(*client, request, guard::Unstarted::connection_ends);
-  if (!quota_.admits(client->requests(), ids_.open()))
+  if (!quota_.admits(client->requests(), other_requests))
     return reject(*client, request, guard::Unstarted::too_many_open);
   if (request.body.size() > budget_.free_bytes())
     return reject(*client, request, guard::Unstarted::no_memory);
-  auto reservation = ids_.reserve(request.id);
-  if (!reservation) return refuse_id(*client, request, reservation.error());
   request.id_reservation = std::move(*reservation);
   request.body_memory = BufferBudget::Lease(budget_, request.body.size());
   client->deferred_.push_back(std::move(request));
--- a/tests/departed_client.cpp
+++ b/tests/departed_client.cpp
@@ -46,7 +46,8 @@
   int times_received = 0;
   std::string answer;
 };
-Repeat repeat_id(const std::string& request_class, Leaving leaving) {
+// `before`: what the second connection sends first.
+Repeat repeat_id(const std::string& request_class, Leaving leaving, const std::string& before = "") {
   Deployment deployment(kLimits, 1000);
   for (const auto& server : deployment.servers)
     server->set_answer_time(leaving == Leaving::is_answered ? 0.01 : 0.3);
@@ -61,7 +62,7 @@
     if (leaving == Leaving::closes) first = Fd();
     co_await pause.wait(deployment.scheduler.now() + 0.05);
     const Fd second = deployment.router->connect_client();
-    send_all(second, request);
+    send_all(second, before + request);
     deployment.scheduler.start(read_for(deployment, second, 0.6, repeat.answer));
     co_await pause.wait(deployment.scheduler.now() + 0.7);
     deployment.scheduler.stop();
@@ -84,6 +85,16 @@
   CHECK(repeat.answer.find("ABORTED") != std::string::npos);
 }
 
+// Prevents that a request which has run is answered as rejected, which says that it did not.
+TEST_CASE("given a request that has run, when its id returns on a connection that ends, then it has failed",
+          "[repeated_id]") {
+  const auto repeat = repeat_id("order", Leaving::is_answered, net::resp_array_text({"NONSENSE", "90", "x"}));
+  CAPTURE(repeat.answer);
+  CHECK(repeat.times_received == 1);
+  CHECK(repeat.answer.find("ABORTED") != std::string::npos);
+  CHECK(repeat.answer.find("REJECT") == std::string::npos);
+}
+
 // Prevents that requests which were written before their client closed its connection are sent on long after.
 TEST_CASE("given much unread input, when its client closes, then no attempt begins afterwards",
           "[unread_at_close]") {
