Soak: crowds, floods, series of signals, short deadlines, and the kill at its earliest

Change: faults signal_series, clients_close_unread, clients_repeat_ids, crowd_unfinished, crowd_unread and crowd_floods; half of the drawn plans have 32 MB and 1,024 descriptors, two in five have deadlines of 0.08 to 0.38 of the usual; the kill is sent at its earliest (before: 0.5 s later and always after 3.7), and what it finds unanswered is lost if it came 0.7 s after SIGTERM; a stop that lasts is counted while it lasts.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "base/text.h"
 #include "config/settings.h"
@@ -59,6 +60,7 @@
   if (fault.kind == FaultKind::clients_crowd)
     scheduler_.start(open_idle_connections(static_cast<int>(fault.magnitude), until));
   if (fault.kind == FaultKind::clients_spoil) scheduler_.start(send_malformed());
+  if (fault.kind == FaultKind::clients_close_unread) scheduler_.start(close_unread());
 }
 
 std::shared_ptr<FaultyConnection> Clients::connect_to_router() {
@@ -98,6 +100,7 @@
   r.part = r.effect == Idempotency::idempotent ? static_cast<int>(3 * uniform()) : 0;
   if (r.effect == Idempotency::with_key) r.key = fmt::format("{:016x}", r.id);
   r.limit = r.effect == Idempotency::idempotent ? 0.6 + 1.4 * uniform() : 1 + 2 * uniform();
+  r.limit *= setup_.limit_share;
   if (strikes(FaultKind::clients_short_limits)) r.limit = 0.005 + 0.045 * uniform();
   r.limit = std::floor(r.limit * 1e3) / 1e3;
   if (r.effect == Idempotency::idempotent && uniform() < 0.3)
@@ -144,11 +147,11 @@
       c.open, [&](const auto& o) { return now < o.second.sent + kCloseCrossing + oracle_.worst_lag(); });
   for (const auto& [tag, r] : c.open) {
     --open_;
-    if (process_.killed_at() > r.sent - kLongestRequestWrite)
+    if (process_.excuses(r.sent - kLongestRequestWrite))
       oracle_.excuse(r.id, "its router was killed");
     else if (process_.breaks_connections())
       oracle_.excuse(r.id, "the network broke its connection");
-    else if (c.answers == 0 && active(FaultKind::clients_crowd))
+    else if (c.answers == 0 && (active(FaultKind::clients_crowd) || process_.has_crowd()))
       oracle_.excuse(r.id, "its connection was new while many clients connected");
     else if (was_idle)
       oracle_.record_crossed_close(r.id), to_resend_.push_back(r);
@@ -172,15 +175,59 @@
 void Clients::cancel_oldest(Session& c) {
   const auto oldest = std::ranges::min_element(c.open, {}, [](const auto& o) { return o.second.sent; });
   c.connection->write(net::resp_array_text({"FORGET", oldest->first}));
-  oracle_.record_cancellation(oldest->second.id), --open_;
+  note_left(oldest->second);
   c.open.erase(oldest);
 }
 
 void Clients::abandon_all(Session& c) {
-  for (const auto& [tag, request] : c.open) oracle_.record_cancellation(request.id), --open_;
+  for (const auto& [tag, request] : c.open) note_left(request);
   c.open.clear();
 }
 
+void Clients::note_left(const Oracle::Request& request) {
+  constexpr std::size_t kMaxRepeated = 16;
+  oracle_.record_cancellation(request.id);
+  --open_;
+  if (active(FaultKind::clients_repeat_ids) && to_repeat_.size() < kMaxRepeated &&
+      request.effect == Idempotency::non_idempotent && oracle_.has_run(request.id))
+    to_repeat_.push_back(request);
+}
+
+// Sends requests again under the ids of some that had run when their client left. None of them may run again
+// in the same process; the answers are not judged.
+void Clients::repeat_ids(Session& c) {
+  for (const auto& request : std::exchange(to_repeat_, {}))
+    if (request.start == c.start) c.connection->write(format_request(request, std::to_string(++c.tag)));
+}
+
+// Writes requests with much behind them, and closes the connection.
+Task Clients::close_unread() {
+  constexpr int kRequests = 8;
+  constexpr std::size_t kBytesBehind = 200'000;
+  Event pause(scheduler_);
+  while (active(FaultKind::clients_close_unread)) {
+    co_await pause.wait(scheduler_.now() + 0.1);
+    if (process_.phase() != Process::Phase::serving || finished_) continue;
+    const auto connection = connect_to_router();
+    if (!connection) continue;
+    co_await connection->stream().writable(scheduler_.now() + 0.2);
+    std::vector<std::uint64_t> ids;
+    int tag = 0;
+    for (int n = 0; n < kRequests; ++n) {
+      auto request = draw_request();
+      connection->write(format_request(request, std::to_string(++tag)));
+      request.sent = unix_now();
+      oracle_.record_request(request);
+      ids.push_back(request.id);
+    }
+    while (connection->written() < kBytesBehind)
+      connection->write(net::resp_array_text({"FORGET", std::to_string(++tag + 1000)}));
+    connection->stream().flush();
+    if (uniform() < 0.5) connection->reset();
+    for (const auto id : ids) oracle_.record_cancellation(id);
+  }
+}
+
 Task Clients::run_connection() {
   constexpr std::size_t kMaxOpen = 24;
   Event pause(scheduler_);
@@ -194,6 +241,7 @@
     const bool up = co_await stream.writable(scheduler_.now() + 1);
     if (!up || stream.error() != 0) continue;
     c.start = process_.start_count();
+    repeat_ids(c);
     c.connected = c.quiet_since = scheduler_.now();
     // Some connections stay open after their last request until either side closes them.
     int requests_left = 3 + static_cast<int>(40 * uniform());
--- a/soak/clients.h
+++ b/soak/clients.h
@@ -21,6 +21,7 @@
     double rate = 25;  // requests per second, over all connections
     unsigned seed = 1;
     int objects = 200;
+    double limit_share = 1;  // of the usual limits of requests
   };
   Clients(Scheduler& scheduler, Outbox& outbox, Oracle& oracle, Process& process, const Setup& setup);
   void start();
@@ -37,6 +38,8 @@
   Task run_connection();
   Task open_idle_connections(int connections, Seconds until);
   Task send_malformed();
+  Task close_unread();
+  void repeat_ids(Session& c);
   std::shared_ptr<FaultyConnection> connect_to_router();
   Oracle::Request draw_request();
   std::string format_request(const Oracle::Request& request, const std::string& tag) const;
@@ -45,6 +48,7 @@
   void send_across_close(Session& c);
   void cancel_oldest(Session& c);
   void abandon_all(Session& c);
+  void note_left(const Oracle::Request& request);
   bool active(FaultKind kind) const { return scheduler_.now() < active_[static_cast<int>(kind)].until; }
   double magnitude(FaultKind kind) const { return active_[static_cast<int>(kind)].magnitude; }
   bool strikes(FaultKind kind) { return active(kind) && uniform() < magnitude(kind); }
@@ -66,6 +70,7 @@
   Active active_[kFaultKindCount];
   std::map<std::string, std::string> etags_;  // of copies received, by object and part
   std::vector<Oracle::Request> to_resend_;    // requests that crossed an idle close
+  std::vector<Oracle::Request> to_repeat_;    // requests that had run when their client left
 };
 
 }  // namespace walkpaddle::soak
--- a/soak/oracle.cpp
+++ b/soak/oracle.cpp
@@ -47,12 +47,14 @@
   while (lags_.front().first < now - kLagMemory) lags_.pop_front();
 }
 
-Seconds Oracle::slack() const {
+Seconds Oracle::recent_lag() const {
   Seconds worst = 0;
   for (const auto& [at, lag] : lags_) worst = std::max(worst, lag);
-  return kTimerSlack + 2 * worst;
+  return worst;
 }
 
+Seconds Oracle::slack() const { return kTimerSlack + 2 * recent_lag(); }
+
 void Oracle::record_stall(int router, Seconds from, Seconds to) { stalls_[router].emplace_back(from, to); }
 
 Seconds Oracle::stalled_time(int router, Seconds from, Seconds to) const {
@@ -138,6 +140,11 @@
   }
 }
 
+bool Oracle::has_run(std::uint64_t id) const {
+  const auto it = records_.find(id);
+  return it != records_.end() && std::ranges::any_of(it->second.attempts, &Attempt::ran);
+}
+
 void Oracle::record_cancellation(std::uint64_t id) {
   const auto it = records_.find(id);
   if (it == records_.end() || it->second.answered_at >= 0 || it->second.left_at >= 0) return;
--- a/soak/oracle.h
+++ b/soak/oracle.h
@@ -86,6 +86,7 @@
   void record_request(const Request& request);
   void record_answer(std::uint64_t id, std::string_view status, std::string_view fields,
                      std::string_view body);
+  bool has_run(std::uint64_t id) const;                  // whether an attempt of it ran, or may have
   void record_cancellation(std::uint64_t id);            // by the client: it cancelled the request or closed
   void excuse(std::uint64_t id, std::string_view why);   // the protocol requires no answer
   void record_read_pause(std::uint64_t id, Seconds by);  // the client does not read for that long
@@ -108,6 +109,7 @@
   // Processes.
   void record_stall(int router, Seconds from, Seconds to);
   void report_violation(Invariant invariant, int router, std::uint64_t request, std::string description);
+  Seconds recent_lag() const;         // the worst of the last seconds
   void record_loop_lag(Seconds lag);  // delay of the soak's own event loop: observations may be that late
 
   void finish();  // at the end of the run: reports requests that were never answered
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -28,6 +28,7 @@
     {"kill", Target::router, 0.2, 1.5, 0, 0},
     {"stall", Target::router, 0.1, 0.5, 0, 0},
     {"reload", Target::router, 0, 0, 0, 0},
+    {"signal_series", Target::router, 0.5, 3, 0.03, 0.4},
     {"wall_step", Target::router, 0, 0, -3600, 3600},
     {"recv_interrupted", Target::router, 1, 4, 3, 40},
     {"recv_short", Target::router, 1, 3, 2, 20},
@@ -72,6 +73,11 @@
     {"clients_short_limits", Target::clients, 1, 5, 0.1, 0.5},
     {"clients_crowd", Target::clients, 1, 4, 60, 180},
     {"clients_half_close", Target::clients, 1, 4, 0.05, 0.3},
+    {"clients_close_unread", Target::clients, 1, 3, 0.05, 0.3},
+    {"clients_repeat_ids", Target::clients, 1, 4, 0.2, 1},
+    {"crowd_unfinished", Target::clients, 1, 4, 100, 600},
+    {"crowd_unread", Target::clients, 1, 4, 50, 300},
+    {"crowd_floods", Target::clients, 1, 3, 1, 6},
 };
 
 const FaultRange& fault_range(FaultKind kind) { return kFaultTable[static_cast<int>(kind)]; }
@@ -96,7 +102,7 @@
                            kind == FaultKind::stall || kind == FaultKind::server_closes_idle ||
                            kind == FaultKind::server_resets_idle || kind == FaultKind::server_forgets_idle ||
                            (kind >= FaultKind::discovery_down && kind <= FaultKind::discovery_late) ||
-                           range.target == Target::clients;
+                           (range.target == Target::clients && kind < FaultKind::crowd_unfinished);
   if (may_hit_all && between(0, 1) < kAllTargetsProbability) fault.target = -1;
   // Half of the clock steps are a few seconds, the others up to an hour.
   if (kind == FaultKind::wall_step && between(0, 1) < 0.5) fault.magnitude /= 600;
@@ -113,6 +119,13 @@
   std::mt19937_64 random(seed);
   std::uniform_real_distribution<> uniform(0, 1);
   const double longest_quiet = seconds / 4;
+  // The least memory that the platform's pages name, with as many descriptors as let a crowd in.
+  constexpr double kLeastMemoryProbability = 0.5, kShortDeadlinesProbability = 0.4;
+  if (uniform(random) < kLeastMemoryProbability) {
+    plan.memory_mb = 32;
+    plan.max_descriptors = 1024;
+  }
+  if (uniform(random) < kShortDeadlinesProbability) plan.deadline_share = 0.08 + 0.3 * uniform(random);
   // In some plans one router's clock differs from discovery's from the beginning.
   constexpr double kInitialStepProbability = 0.4;
   if (uniform(random) < kInitialStepProbability)
@@ -157,6 +170,9 @@
                          CFG_INT("servers", 8, CFGF_NONE),
                          CFG_INT("parents", 2, CFGF_NONE),
                          CFG_FLOAT("rate", 25, CFGF_NONE),
+                         CFG_INT("descriptors", 256, CFGF_NONE),
+                         CFG_INT("memory_mb", 48, CFGF_NONE),
+                         CFG_FLOAT("deadline_share", 1, CFGF_NONE),
                          CFG_INT("most_connections", 0, CFGF_NONE),
                          CFG_INT("most_refused", 0, CFGF_NONE),
                          CFG_SEC("trouble", fault_options, CFGF_MULTI),
@@ -170,6 +186,9 @@
             .servers = static_cast<int>(all.integer("servers")),
             .parents = static_cast<int>(all.integer("parents")),
             .rate = all.number("rate"),
+            .max_descriptors = static_cast<int>(all.integer("descriptors")),
+            .memory_mb = static_cast<int>(all.integer("memory_mb")),
+            .deadline_share = all.number("deadline_share"),
             .max_rejected = static_cast<int>(all.integer("most_refused")),
             .max_connections = static_cast<int>(all.integer("most_connections"))};
   constexpr int kMaxProcesses = 60, kMaxServers = 200;
@@ -192,9 +211,11 @@
 }
 
 std::string format_plan(const Plan& plan) {
-  std::string text =
-      fmt::format("seed = {}\nseconds = {}\nprocesses = {}\nservers = {}\nparents = {}\nrate = {}\n",
-                  plan.seed, plan.seconds, plan.processes, plan.servers, plan.parents, plan.rate);
+  std::string text = fmt::format(
+      "seed = {}\nseconds = {}\nprocesses = {}\nservers = {}\nparents = {}\nrate = {}\n"
+      "descriptors = {}\nmemory_mb = {}\ndeadline_share = {}\n",
+      plan.seed, plan.seconds, plan.processes, plan.servers, plan.parents, plan.rate, plan.max_descriptors,
+      plan.memory_mb, plan.deadline_share);
   for (const auto& t : plan.faults)
     text += fmt::format(
         "trouble {{\n  kind = \"{}\"\n  at = {:.3f}\n  lasts = {:.3f}\n  target = {}\n  size = {:.4f}\n}}\n",
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -17,6 +17,7 @@
   kill,
   stall,
   reload,
+  signal_series,
   wall_step,
   recv_interrupted,
   recv_short,
@@ -64,6 +65,12 @@
   clients_short_limits,
   clients_crowd,
   clients_half_close,
+  clients_close_unread,
+  clients_repeat_ids,
+  // Clients of one router that do not keep to the protocol. The magnitude is their number.
+  crowd_unfinished,
+  crowd_unread,
+  crowd_floods,
   count
 };
 constexpr int kFaultKindCount = static_cast<int>(FaultKind::count);
@@ -83,12 +90,17 @@
   int processes = 12, servers = 8, parents = 2;
   double rate = 25;           // requests per second at each router
   int max_descriptors = 256;  // open files allowed to each router
+  int memory_mb = 48;         // memory allowed to each router
+  double deadline_share = 1;  // of the deadlines of 2 and 3 s, also for the limits of requests
   int fleet_size = 0;         // routers according to the settings; 0: the number of processes
   int max_rejected = 0;       // rejected requests of all routers; 0: no limit
   int max_connections = 0;    // to servers, of all routers; 0: no limit
   std::vector<Fault> faults{};
 };
 
+// The deadline of the idempotent request class and of the two others, in seconds.
+constexpr Seconds kShorterDeadline = 2, kLongerDeadline = 3;
+
 // Draws groups of overlapping faults, some after a quiet period, until shortly before the end.
 Plan random_plan(std::uint64_t seed, Seconds seconds, int processes);
 Plan read_plan(const std::string& path);    // throws InputError with file and line
--- a/soak/process.cpp
+++ b/soak/process.cpp
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
@@ -19,8 +20,9 @@
 
 namespace {
 
-constexpr Seconds kLongestLimit = 3, kKillAfter = 0.7;  // the platform kills this long after SIGTERM
-constexpr Seconds kBusyMachineSlack = 0.5;              // extra time on a busy machine
+// The platform kills so long after SIGTERM at the earliest, after the longest deadline, which counts as
+// kMaxCountedDeadline at most. Requests that come later than kKillAfter after SIGTERM must have their answer.
+constexpr Seconds kMaxCountedDeadline = 3, kKillAfter = 0.7;
 constexpr Seconds kReadyWithin = 10;
 
 }  // namespace
@@ -80,12 +82,25 @@
                              fmt::format("ready {:.1f} s after its start", unix_now() - started_at_));
 }
 
-void Process::terminate() {
-  if (phase_ == Phase::ending && terminated_at_ > 0) ::kill(pid_, SIGTERM);  // a repeated shutdown signal
+void Process::terminate(int signal) {
+  if (is_terminating()) ::kill(pid_, signal);  // a repeated shutdown signal
   if (phase_ != Phase::serving) return;
   resume();
   terminated_at_ = unix_now(), phase_ = Phase::ending;
-  ::kill(pid_, SIGTERM);
+  ::kill(pid_, signal);
+}
+
+// The time in which the process was stopped, and that by which a busy machine is late, as the soak's own lag
+// shows, delay the kill.
+Seconds Process::kill_at() const {
+  const Seconds suspended = suspended_time_ + (suspended_at_ > 0 ? unix_now() - suspended_at_ : 0);
+  return terminated_at_ + std::min(setup_.longest_deadline, kMaxCountedDeadline) + kKillAfter + suspended +
+         oracle_.recent_lag();
+}
+
+bool Process::excuses(Seconds sent_at) const {
+  if (killed_at_ > sent_at) return true;
+  return platform_killed_at_ > sent_at && sent_at < terminated_at_ + kKillAfter;
 }
 
 void Process::kill() {
@@ -116,8 +131,8 @@
   if (pid_ <= 0) return false;
   int status = 0;
   if (::waitpid(pid_, &status, WNOHANG) != pid_) {
-    const Seconds kill_at = terminated_at_ + kLongestLimit + kKillAfter + kBusyMachineSlack + suspended_time_;
-    if (phase_ == Phase::ending && terminated_at_ > 0 && unix_now() > kill_at) {
+    if (is_terminating() && unix_now() > kill_at()) {
+      platform_killed_at_ = unix_now();
       oracle_.report_violation(
           Invariant::ends_in_time, number(), 0,
           fmt::format("still running {:.1f} s after SIGTERM", unix_now() - terminated_at_));
@@ -169,14 +184,7 @@
 
 bool Process::accepts_connections() const {
   constexpr Seconds kNewConnections = 0.3;
-  return phase_ == Phase::serving ||
-         (phase_ == Phase::ending && terminated_at_ > 0 && unix_now() < terminated_at_ + kNewConnections);
-}
-
-bool Process::accepts_requests() const {
-  constexpr Seconds kNewRequests = 0.5;
-  return phase_ == Phase::serving ||
-         (phase_ == Phase::ending && terminated_at_ > 0 && unix_now() < terminated_at_ + kNewRequests);
+  return phase_ == Phase::serving || (is_terminating() && unix_now() < terminated_at_ + kNewConnections);
 }
 
 }  // namespace walkpaddle::soak
--- a/soak/process.h
+++ b/soak/process.h
@@ -2,8 +2,10 @@
 // Starts, signals and restarts it, and checks how it exits, its open files and its memory.
 #pragma once
 
+#include <signal.h>
 #include <sys/types.h>
 
+#include <algorithm>
 #include <string>
 
 #include "soak/fault_control.h"
@@ -17,6 +19,7 @@
     std::string program, shim, folder, name;
     int number = 0, port = 0, max_descriptors = 256;
     double max_memory_mb = 48;
+    Seconds longest_deadline = 3;  // of the request classes
   };
   Process(Oracle& oracle, Setup setup);
   ~Process();
@@ -31,7 +34,7 @@
   void start(const std::string& config);
   void configure(const std::string& config);  // writes the file that a start or a reload reads
   void set_ready();
-  void terminate();
+  void terminate(int signal = SIGTERM);
   void kill();
   void request_reload();
   void suspend();
@@ -46,14 +49,23 @@
   // Until then, injected system call errors may break the router's connections.
   void set_breaks_connections_until(Seconds until) { breaks_until_ = until; }
   bool breaks_connections() const { return unix_now() < breaks_until_; }
-  // Whether clients still open connections (until 0.3 s after SIGTERM) and send requests (for 0.2 s more).
+  // Until then, many clients fill the router's places.
+  void set_crowd_until(Seconds until) { crowd_until_ = std::max(crowd_until_, until); }
+  bool has_crowd() const { return unix_now() < crowd_until_; }
+  // Whether clients still open connections (until 0.3 s after SIGTERM).
   bool accepts_connections() const;
-  bool accepts_requests() const;
+  // Whether clients still send requests on open connections (until the process ends or is killed).
+  bool accepts_requests() const { return phase_ == Phase::serving || is_terminating(); }
+  // Whether the platform killed the process after SIGTERM, and a request sent then was not answered in its
+  // time: one that came late enough after SIGTERM is lost all the same.
+  bool excuses(Seconds sent_at) const;
   Seconds ended_at() const { return ended_at_; }
-  Seconds killed_at() const { return killed_at_; }  // the last time; 0 if never
   std::string log_path() const { return setup_.folder + "/log"; }
 
  private:
+  bool is_terminating() const { return phase_ == Phase::ending && terminated_at_ > 0; }
+  Seconds kill_at() const;
+
   Oracle& oracle_;
   const Setup setup_;
   FaultControl* control_ = nullptr;
@@ -62,7 +74,7 @@
   int starts_ = 0;
   bool killed_ = false;
   Seconds terminated_at_ = 0, suspended_at_ = 0, ended_at_ = 0, started_at_ = 0, breaks_until_ = 0,
-          suspended_time_ = 0, killed_at_ = 0;
+          suspended_time_ = 0, killed_at_ = 0, platform_killed_at_ = 0, crowd_until_ = 0;
 };
 
 }  // namespace walkpaddle::soak
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak.h"
 
 #include <fmt/core.h>
+#include <signal.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <set>
 
 #include "soak/clients.h"
+#include "soak/crowd.h"
 #include "soak/discovery.h"
 #include "soak/endpoint.h"
 #include "soak/process.h"
@@ -24,21 +26,24 @@
 std::string settings_text(const Plan& plan, const Rules& rules) {
   const int fleet_size = plan.fleet_size > 0 ? plan.fleet_size : plan.processes;
   const auto ms = [](Seconds time) { return static_cast<int>(time * 1e3); };
+  const Seconds shorter = kShorterDeadline * plan.deadline_share;
+  const Seconds longer = kLongerDeadline * plan.deadline_share;
   return fmt::format(
       R"({{"allowed":{{"cancel":true,"dial_timeout":1000,"idle_close":8000,"max_attempts":4,"max_retry_after":500,
 "retry_after":true,"streams_per_conn":16}},"categories":[
-{{"name":"page","aim":300,"aim_stretch":2,"deadline":2000,"effect":"free","gain":1}},
-{{"name":"form","aim":500,"deadline":3000,"effect":"guarded","group":"all","window":{},"gain":2}},
-{{"name":"order","aim":500,"deadline":3000,"effect":"single_shot","gain":3}}],
+{{"name":"page","aim":{},"aim_stretch":2,"deadline":{},"effect":"free","gain":1}},
+{{"name":"form","aim":{},"deadline":{},"effect":"guarded","group":"all","window":{},"gain":2}},
+{{"name":"order","aim":{},"deadline":{},"effect":"single_shot","gain":3}}],
 "failure_domains":["hub","edge"],"models":["cache","parent","origin"],"fleet_size":{},"locality":1,
 "rules":{{"cold_from":{},"fall_multiple":{},"warm_after":{},"overload_for":{},"drain_grace":{}}},
 "specifics":{{"class_fresh":[0,0,0],"client_kb_per_s":6000,"direct":true,"in_parts":[false,false,false],
 "merges_fills":true,"notes_given":"all","origin_kind":2,"second_tier_kind":1,"pass_on":[false,true,true],
 "peers_fill":"none","purge_settles":6000,"notice_time":{},"seats_by_zone":[0,{}],"upper_cold_from":{},
 "upper_fall_multiple":{},"parent_warms_in":{}}},"tick":1}})",
-      ms(rules.window), fleet_size, rules.cold_from, rules.cold_multiple, ms(rules.warm_after),
-      ms(rules.cold_window), ms(rules.drain_grace), ms(rules.purge_grace), fleet_size, rules.cold_from,
-      rules.cold_multiple, ms(rules.warm_after));
+      ms(std::min(0.3, shorter)), ms(shorter), ms(std::min(0.5, longer)), ms(longer), ms(rules.window),
+      ms(std::min(0.5, longer)), ms(longer), fleet_size, rules.cold_from, rules.cold_multiple,
+      ms(rules.warm_after), ms(rules.cold_window), ms(rules.drain_grace), ms(rules.purge_grace), fleet_size,
+      rules.cold_from, rules.cold_multiple, ms(rules.warm_after));
 }
 
 // One soak run; everything except the router processes runs in one thread.
@@ -62,10 +67,15 @@
                                   .name = fmt::format("r{}", n),
                                   .number = n,
                                   .port = ports_.take(),
-                                  .max_descriptors = plan_.max_descriptors}));
-      clients_.push_back(std::make_unique<Clients>(
-          scheduler_, outbox_, oracle_, *processes_.back(),
-          Clients::Setup{.rate = plan_.rate, .seed = seed(1000 + n), .objects = kObjects}));
+                                  .max_descriptors = plan_.max_descriptors,
+                                  .max_memory_mb = static_cast<double>(plan_.memory_mb),
+                                  .longest_deadline = kLongerDeadline * plan_.deadline_share}));
+      clients_.push_back(std::make_unique<Clients>(scheduler_, outbox_, oracle_, *processes_.back(),
+                                                   Clients::Setup{.rate = plan_.rate,
+                                                                  .seed = seed(1000 + n),
+                                                                  .objects = kObjects,
+                                                                  .limit_share = plan_.deadline_share}));
+      crowds_.push_back(std::make_unique<Crowd>(scheduler_, outbox_, *processes_.back(), seed(3000 + n)));
     }
   }
   ~Soak() { scheduler_.drop_tasks(); }
@@ -131,9 +141,9 @@
     auto& p = *processes_[static_cast<std::size_t>(n)];
     return fmt::format(
         R"({{"name":"r{}","seed":"{:x}","listen":"127.0.0.1:{}","bus":"127.0.0.1:{}","known":{},)"
-        R"("limits":{{"sockets":{},"memory_mb":48}},"settings":{}}})",
+        R"("limits":{{"sockets":{},"memory_mb":{}}},"settings":{}}})",
         n, plan_.seed * 100 + static_cast<unsigned>(n), p.port(), discovery_.port(n),
-        discovery_.initial_state(n, p.start_count() + 1, servers_), plan_.max_descriptors,
+        discovery_.initial_state(n, p.start_count() + 1, servers_), plan_.max_descriptors, plan_.memory_mb,
         settings_text(plan_, rules_));
   }
 
@@ -184,7 +194,10 @@
 
   void inject(const Fault& t) {
     const Seconds until = scheduler_.now() + t.duration;
-    if (t.kind >= FaultKind::clients_leave) {
+    if (t.kind >= FaultKind::crowd_unfinished) {
+      for (int n = 0; n < plan_.processes; ++n)
+        if (t.target < 0 || t.target == n) crowds_[static_cast<std::size_t>(n)]->inject(t, until);
+    } else if (t.kind >= FaultKind::clients_leave) {
       for (int n = 0; n < plan_.processes; ++n)
         if (t.target < 0 || t.target == n) clients_[static_cast<std::size_t>(n)]->inject(t, until);
     } else if (t.kind >= FaultKind::discovery_down) {
@@ -254,9 +267,13 @@
         p.resume();
         break;
       case FaultKind::reload:
-        discovery_.move_port(n);
-        p.configure(config_for_reload(n));
-        p.request_reload();
+        reload(n);
+        break;
+      case FaultKind::signal_series:
+        while (scheduler_.now() < until) {
+          send_signal(n);
+          co_await wait.wait(scheduler_.now() + t.magnitude);
+        }
         break;
       case FaultKind::wall_step:
         p.fault_control().wall_offset_ns += static_cast<std::int64_t>(t.magnitude * 1e9);
@@ -272,17 +289,38 @@
     }
   }
 
+  void reload(int n) {
+    auto& p = *processes_[static_cast<std::size_t>(n)];
+    discovery_.move_port(n);
+    p.configure(config_for_reload(n));
+    p.request_reload();
+  }
+
+  // One of the signals that the program handles.
+  void send_signal(int n) {
+    auto& p = *processes_[static_cast<std::size_t>(n)];
+    switch (std::uniform_int_distribution<>(0, 3)(random_)) {
+      case 0:
+        return p.terminate();
+      case 1:
+        return p.terminate(SIGINT);
+      default:
+        return reload(n);
+    }
+  }
+
   // Configuration for a reload: only discovery's address differs for the running process.
   std::string config_for_reload(int n) {
     auto& p = *processes_[static_cast<std::size_t>(n)];
     return fmt::format(
         R"({{"name":"r{}","seed":"1","listen":"127.0.0.1:{}","bus":"127.0.0.1:{}","known":{{"offset":1,"batch":[]}},)"
-        R"("limits":{{"sockets":{},"memory_mb":48}},"settings":{}}})",
-        n, p.port(), discovery_.port(n), plan_.max_descriptors, settings_text(plan_, rules_));
+        R"("limits":{{"sockets":{},"memory_mb":{}}},"settings":{}}})",
+        n, p.port(), discovery_.port(n), plan_.max_descriptors, plan_.memory_mb,
+        settings_text(plan_, rules_));
   }
 
   Task end() {
-    constexpr Seconds kLastAnswers = 4;  // the longest request limit plus one second
+    constexpr Seconds kLastAnswers = kLongerDeadline + 1;
     Event wait(scheduler_);
     co_await wait.wait(started_ + plan_.seconds);
     finished_ = true;
@@ -338,6 +376,7 @@
   std::vector<Seconds> lifecycle_busy_until_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::vector<std::unique_ptr<Clients>> clients_;
+  std::vector<std::unique_ptr<Crowd>> crowds_;
   bool finished_ = false;
 };
 
