--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -142,9 +142,11 @@
 // The router closed the connection: decides by the platform's protocol which open requests are violations.
 void Clients::handle_connection_end(Session& c) {
   // Requests crossed an idle close if all of them are recent: the connection was idle before they were sent.
+  // This thread may see the close late.
   const Seconds now = unix_now();
-  const bool was_idle = std::ranges::all_of(
-      c.open, [&](const auto& o) { return now < o.second.sent + kCloseCrossing + oracle_.worst_lag(); });
+  const Seconds lag = std::max(oracle_.worst_lag(), scheduler_.max_input_delay());
+  const bool was_idle =
+      std::ranges::all_of(c.open, [&](const auto& o) { return now < o.second.sent + kCloseCrossing + lag; });
   for (const auto& [tag, r] : c.open) {
     --open_;
     if (process_.excuses(r.sent - kLongestRequestWrite))
