--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -216,6 +216,8 @@
                     task = self.open.get((id(writer), txn))
                     if task:
                         task.cancel()
+                elif words[0] == b"purges" and hasattr(self, "command"):
+                    writer.write(self.command(words))
                 else:
                     raise ValueError(words[0])
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.LimitOverrunError):
@@ -277,6 +279,9 @@
     def purge(self, item, stamp):
         return self.tell(3, struct.pack(">QQ", item, int(stamp * 1e3)), f"purge of object {item:016x}")
 
+    def purge_group(self, group, stamp):
+        return self.tell(4, struct.pack(">HQ", group, int(stamp * 1e3)), f"purge of group {group}")
+
     def state(self, server, state, started=0.0):
         payload = struct.pack(">IIHBBBHIQ", server.number, 0x7F000001, server.port, self.STATES[state],
                               self.zones.index(server.zone), Server.KINDS.index(server.kind), 0, 1000,
