--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -42,16 +42,22 @@
         print(text, flush=True)
 
 
+given_ports = set()
+
+
 def free_port(udp=False):
-    """A port below the range that the system gives to outgoing connections."""
+    """A port below the range that the system gives to outgoing connections. None is given twice."""
     for _ in range(400):
         port = random.randrange(20000, 32000)
+        if port in given_ports:
+            continue
         try:
             with socket.socket() as s:
                 s.bind(("127.0.0.1", port))
             if udp:
                 with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as s:
                     s.bind(("127.0.0.1", port))
+            given_ports.add(port)
             return port
         except OSError:
             continue
