Clients: a write with a wrong length is neither run in part nor answered as served

Cause: parse_request() took four strings as a request without a body, also for classes with an effect. ClientMessages::take() handed a request on once its own bytes were there; that the bytes behind it began no message was found one step later and changed nothing for it. A request that is followed by a string, or that has a body and is followed by bytes that begin no message, is failed unstarted, or abandoned and answered ABORTED if it was out already. Two senders of tests that wrote a write without the fifth string (client_crowd, soak/crowd) write an empty one now, so that they ask for the same work.

--- a/soak/crowd.cpp
+++ b/soak/crowd.cpp
@@ -47,7 +47,7 @@
   std::string text;
   for (int tag = 1; tag <= count; ++tag)
     text += net::resp_array_text({"EXEC", std::to_string(tag), chance(0.9) ? "page" : "order",
-                                  request_fields(chance(0.5) ? 2000 : 5000)});
+                                  request_fields(chance(0.5) ? 2000 : 5000), ""});
   return text;
 }
 
--- a/src/guard/counters.h
+++ b/src/guard/counters.h
@@ -37,11 +37,13 @@
   id_repeated,      ///< a request with its id had an effect, or may have had one
   client_left,      ///< its client had closed the connection
   connection_ends,  ///< it was read after the end of its connection had begun
+  malformed,        ///< its message proved to have a wrong length or number of words
   count             ///< number of enumerators above
 };
 /// Names of the reasons, by value.
 constexpr std::array<std::string_view, static_cast<std::size_t>(Unstarted::count)> kUnstartedNames = {
-    "late_answer", "no_memory", "too_many_open", "id_open", "id_repeated", "client_left", "connection_ends"};
+    "late_answer", "no_memory",   "too_many_open",   "id_open",
+    "id_repeated", "client_left", "connection_ends", "malformed"};
 /// The name of a reason in the log.
 constexpr std::string_view to_string(Unstarted reason) {
   return kUnstartedNames[static_cast<std::size_t>(reason)];
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -129,7 +129,13 @@
   Seconds close_at_ = 0;                   // when a half-closed connection is closed, at the earliest
   bool slow_reader_ = false;               // the connection was closed because the client had stopped reading
   std::size_t messages_while_ending_ = 0;  // whole messages that were read in the phase `ending`
-  bool framing_lost_ = false;       // bytes were received that are no message: what follows cannot be read
+  bool framing_lost_ = false;  // bytes were received that are no message: what follows cannot be read
+  // The request of the message that was read last; the tag is empty if that was another message.
+  struct LastRequest {
+    std::string tag;
+    bool has_body = false;
+  };
+  LastRequest last_request_;
   std::size_t reply_bytes_ = 0;     // replies without a body since the client had last read all
   Seconds bulk_until_ = 0;          // until then the client counts as one that sends at full speed
   Seconds unread_since_ = kNoTime;  // since when messages may have been waiting to be read
--- a/src/net/client_messages.cpp
+++ b/src/net/client_messages.cpp
@@ -76,6 +76,7 @@
       }
       client->begin_end();
       client->framing_lost_ = message.used == 0;  // the start of the next message is unknown
+      withdraw_if_cut_short(*client);
     }
     stream.consume(message.used);
   }
@@ -84,6 +85,7 @@
 
 void ClientMessages::handle(const std::shared_ptr<ClientConnection>& client,
                             const std::vector<std::string_view>& words) {
+  client->last_request_ = {};
   if (words.size() < 2) throw_bad_value("command", "");
   const auto verb = words[0];
   const std::string tag(words[1]);
@@ -103,10 +105,38 @@
   handle->client_left();
 }
 
+// Bytes that begin no message may be the rest of the message before them: a string that its number of strings
+// left out, or the rest of a body whose length was too small. Such a request is not started; one that was
+// started already is abandoned, and its client is told that it failed.
+void ClientMessages::withdraw_if_cut_short(ClientConnection& client) {
+  const auto [tag, has_body] = std::exchange(client.last_request_, {});
+  const auto bytes = client.stream_.in();
+  const bool is_rest_of_body = has_body && !may_begin_resp_array(bytes);
+  if (!begins_resp_string(bytes) && !is_rest_of_body) return;
+  const auto deferred = std::ranges::find(client.deferred_, tag, &Request::tag);
+  if (deferred != client.deferred_.end()) {
+    const auto request = std::move(*deferred);
+    client.deferred_.erase(deferred);
+    return fail_unstarted(client, request, guard::Unstarted::malformed);
+  }
+  const auto open = client.open_.find(tag);
+  if (open == client.open_.end()) return;
+  auto* const handle = open->second;
+  client.open_.erase(open);
+  log_("request", "tag {}: abandoned: the length of its message was wrong", tag);
+  if (guard_ == nullptr || guard_->may_answer(handle->record()) == guard::Invariant::none)
+    client.answer(tag, "ABORTED");
+  handle->client_left();
+}
+
 // The client is told that its request failed: a rejection would say that it did not run.
 void ClientMessages::refuse_id(ClientConnection& client, const Request& request, guard::IdRefusal refusal) {
-  const auto reason =
-      refusal == guard::IdRefusal::is_open ? guard::Unstarted::id_open : guard::Unstarted::id_repeated;
+  const bool is_open = refusal == guard::IdRefusal::is_open;
+  fail_unstarted(client, request, is_open ? guard::Unstarted::id_open : guard::Unstarted::id_repeated);
+}
+
+void ClientMessages::fail_unstarted(ClientConnection& client, const Request& request,
+                                    guard::Unstarted reason) {
   log_("request", "{}: failed before it started: {}", request.id_text, to_string(reason));
   if (guard_ != nullptr) {
     ++guard_->counters().failed;
@@ -140,6 +170,7 @@
     return reject(*client, request, guard::Unstarted::no_memory);
   request.id_reservation = std::move(*reservation);
   request.body_memory = BufferBudget::Lease(budget_, request.body.size());
+  client->last_request_ = {tag, !request.body.empty()};
   client->deferred_.push_back(std::move(request));
 }
 
--- a/src/net/client_messages.h
+++ b/src/net/client_messages.h
@@ -60,6 +60,8 @@
  private:
   void handle(const std::shared_ptr<ClientConnection>& client, const std::vector<std::string_view>& words);
   void forget(ClientConnection& client, const std::string& tag);
+  void withdraw_if_cut_short(ClientConnection& client);
+  void fail_unstarted(ClientConnection& client, const Request& request, guard::Unstarted reason);
   void refuse_id(ClientConnection& client, const Request& request, guard::IdRefusal refusal);
   void execute(const std::shared_ptr<ClientConnection>& client, const std::vector<std::string_view>& words,
                const std::string& tag);
--- a/src/net/client_request.cpp
+++ b/src/net/client_request.cpp
@@ -46,7 +46,10 @@
   constexpr int kMaxLimitMs = 3'600'000;         // far above the limit of any client
   constexpr int kMaxPart = 1'000'000;            // far above the number of parts of any object
   constexpr std::size_t kMaxBodyBytes = 48'000;  // body of a write
-  if (words.size() < 4 || words.size() > 5) throw_bad_value("number of words", std::to_string(words.size()));
+  constexpr std::size_t kLeastWords = 4;         // without a body
+  constexpr std::size_t kMostWords = 5;
+  if (words.size() < kLeastWords || words.size() > kMostWords)
+    throw_bad_value("number of words", std::to_string(words.size()));
   Request request;
   request.tag = words[1];
   request.class_name = words[2];
@@ -55,6 +58,9 @@
   request.class_index = static_cast<int>(request_class - classes.begin());
   request.uncacheable = request_class->uncacheable;
   request.has_effect = request_class->effect;
+  // A missing body may be one that a wrong number of words cuts off. An empty body is a word too.
+  if (request.has_effect && words.size() < kMostWords)
+    throw_bad_value("number of words of a write", std::to_string(words.size()));
   const auto fields = words[3];
   request.id_text = required_field(fields, "txn");
   request.id = parse_hex16(request.id_text, "txn");
@@ -67,7 +73,7 @@
   if (request_class->keyed || field(fields, "unique"))
     request.idempotency_key = checked_value(required_field(fields, "unique"), "unique");
   if (const auto etag = field(fields, "etag")) request.etag = checked_value(*etag, "etag");
-  if (words.size() > 4) request.body = words[4];
+  if (words.size() == kMostWords) request.body = words[kMostWords - 1];
   if (request.body.size() > kMaxBodyBytes)
     throw_bad_value("size of body", std::to_string(request.body.size()));
   return request;
--- a/src/net/client_request.h
+++ b/src/net/client_request.h
@@ -38,8 +38,9 @@
   routing::OutputAdmission::StartedRequest started;  ///< counts the request once it was started
 };
 
-/// Parses the words of an EXEC message: command, tag, class, fields, and optionally a body. The client's time
-/// limit runs from `sent_at`. Throws InputError for a malformed message. The id is not reserved yet.
+/// Parses the words of an EXEC message: command, tag, class, fields and body. Only requests without an effect
+/// may lack the body. The client's time limit runs from `sent_at`. Throws InputError for a malformed message.
+/// The id is not reserved yet.
 Request parse_request(const std::vector<std::string_view>& words,
                       const std::vector<config::RequestClassName>& classes, Seconds sent_at);
 
--- a/src/net/resp_parser.cpp
+++ b/src/net/resp_parser.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr char kArrayPrefix = '*';
+constexpr char kStringPrefix = '$';
+
 // Parses the number of a line such as "*12\r\n" or "$12\r\n" at the start of `rest`, and removes the line.
 // False while the line is incomplete.
 bool take_length(std::string_view& rest, char prefix, std::size_t max_length, std::size_t& length) {
@@ -32,10 +35,10 @@
   into.used = 0;
   auto rest = bytes;
   std::size_t count = 0;
-  if (!take_length(rest, '*', max_words, count)) return;
+  if (!take_length(rest, kArrayPrefix, max_words, count)) return;
   for (std::size_t n = 0; n < count; ++n) {
     std::size_t length = 0;
-    if (!take_length(rest, '$', max_bytes, length)) return;
+    if (!take_length(rest, kStringPrefix, max_bytes, length)) return;
     max_bytes -= length;
     if (rest.size() < length + 2) return;
     if (rest.substr(length, 2) != "\r\n") throw_bad_value("string terminator", rest.substr(length, 2));
@@ -45,13 +48,17 @@
   into.used = bytes.size() - rest.size();
 }
 
+bool may_begin_resp_array(std::string_view bytes) { return bytes.empty() || bytes.front() == kArrayPrefix; }
+
+bool begins_resp_string(std::string_view bytes) { return bytes.starts_with(kStringPrefix); }
+
 MissingBytes missing_resp_bytes(std::string_view bytes) {
   constexpr auto kNoMaximum = static_cast<std::size_t>(-1);  // the caller has checked the lengths
   std::size_t count = 0;
-  if (!take_length(bytes, '*', kNoMaximum, count)) return {};
+  if (!take_length(bytes, kArrayPrefix, kNoMaximum, count)) return {};
   for (std::size_t n = 0; n < count; ++n) {
     std::size_t length = 0;
-    if (!take_length(bytes, '$', kNoMaximum, length)) return {};
+    if (!take_length(bytes, kStringPrefix, kNoMaximum, length)) return {};
     if (bytes.size() < length + 2) return {length + 2 - bytes.size(), n + 1 == count};
     bytes.remove_prefix(length + 2);
   }
@@ -64,11 +71,11 @@
   for (const auto word : words) size += word.size() + kMaxLengthLineBytes;
   std::string text;
   text.reserve(size);
-  text += '*';
+  text += kArrayPrefix;
   text += std::to_string(words.size());
   text += "\r\n";
   for (const auto word : words) {
-    text += '$';
+    text += kStringPrefix;
     text += std::to_string(word.size());
     text += "\r\n";
     text += word;
--- a/src/net/resp_parser.h
+++ b/src/net/resp_parser.h
@@ -23,6 +23,12 @@
 /// strings.
 void read_resp_array(std::string_view bytes, std::size_t max_words, std::size_t max_bytes, RespArray& into);
 
+/// Whether these bytes, received behind an array, may be the start of the next one.
+bool may_begin_resp_array(std::string_view bytes);
+/// Whether these bytes begin with a string. Behind an array it is one that the array's number of strings left
+/// out.
+bool begins_resp_string(std::string_view bytes);
+
 /// What is missing from an incomplete array, as far as its lengths are known.
 struct MissingBytes {
   std::size_t bytes = 1;         ///< at least so many; 1 if the next bytes must show it
--- a/tests/client_crowd.cpp
+++ b/tests/client_crowd.cpp
@@ -212,7 +212,7 @@
   std::string requests;
   for (int tag = 1; tag <= kMaxOpen; ++tag)
     requests +=
-        net::resp_array_text({"EXEC", std::to_string(tag), request_class, request_fields(random, 5000)});
+        net::resp_array_text({"EXEC", std::to_string(tag), request_class, request_fields(random, 5000), ""});
   return requests;
 }
 
--- a/tests/connection_races.cpp
+++ b/tests/connection_races.cpp
@@ -1,11 +1,7 @@
 // Races between two events on a connection. Each test forces the unfavourable order over loopback sockets, in
 // one thread.
 #define CATCH_CONFIG_MAIN
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <poll.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -13,109 +9,17 @@
 #include <thread>
 
 #include "base/text.h"
-#include "config/platform_config.h"
+#include "connection_fixtures.h"
 #include "fakes/discovery_frames.h"
-#include "net/client_listener.h"
 #include "net/discovery_client.h"
-#include "net/resp_parser.h"
-#include "net/upstream_pool.h"
 #include "platform.h"
 
 using namespace walkpaddle;
 using namespace walkpaddle::net;
 using namespace walkpaddle::fakes;
 
-// Waits until `what` holds, up to the limit of within_limit(). For scenarios that run as a task of `s`.
-#define WAIT_UNTIL(what)                                                           \
-  for (const Seconds since = s.scheduler.now(); s.within_limit(since) && !(what);) \
-  co_await s.timer.wait(s.scheduler.now() + 0.01)
-
 namespace {
 
-constexpr std::uint32_t kLoopback = 0x7f000001;
-
-// A listening socket that stands for an endpoint or for discovery.
-struct TestListener {
-  explicit TestListener(int backlog = 64, int receive_buffer = 0)
-      : fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
-    sockaddr_in a{};
-    a.sin_family = AF_INET, a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof a;
-    if (receive_buffer > 0)
-      ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
-    REQUIRE(::bind(fd.get(), reinterpret_cast<sockaddr*>(&a), size) == 0);
-    REQUIRE(::listen(fd.get(), backlog) == 0);
-    ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&a), &size);
-    address = {kLoopback, ntohs(a.sin_port)};
-  }
-  Fd accept() const { return Fd(::accept4(fd.get(), nullptr, nullptr, SOCK_NONBLOCK)); }
-  bool has_pending() const {
-    pollfd p{fd.get(), POLLIN, 0};
-    return ::poll(&p, 1, 0) > 0;
-  }
-  Fd fd;
-  Address address;
-};
-
-// All bytes that have arrived, followed by "|" if the other side has closed the connection.
-std::string read_available(const Fd& fd) {
-  std::string all;
-  char receive_buffer[65536];
-  for (;;) {
-    const auto got = ::recv(fd.get(), receive_buffer, sizeof receive_buffer, 0);
-    if (got > 0) all.append(receive_buffer, static_cast<std::size_t>(got));
-    if (got == 0) return all += "|";
-    if (got < 0) return all;
-  }
-}
-
-void send_all(const Fd& fd, const std::string& bytes) {
-  REQUIRE(::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
-}
-
-std::string request_id(int n) { return fmt::format("{:016x}", 0xa0 + n); }
-
-// The scheduler of one test and what the router's parts need besides.
-struct TestLoop {
-  Log log{"races"};
-  Scheduler scheduler;
-  Outbox outbox{scheduler, 64 << 20};
-  Event timer{scheduler};
-
-  // Runs a scenario: one task, which stops the scheduler at its end.
-  template <class F>
-  void run_scenario(F&& scenario) {
-    scheduler.start(scenario());
-    scheduler.run();
-    scheduler.drop_tasks();
-  }
-  // Time limit of waits for events that must happen.
-  bool within_limit(Seconds since) const { return scheduler.now() < since + 10; }
-};
-
-struct UpstreamFixture : TestLoop {
-  explicit UpstreamFixture(std::size_t max_connections = 64, int attempts_per_connection = 32,
-                           Seconds dial_timeout = 5)
-      : upstream(scheduler, outbox, log, {max_connections, attempts_per_connection, dial_timeout, 60, true}) {
-  }
-  int update_endpoint(const std::string& name, const Address& at,
-                      EndpointState state = EndpointState::ready) {
-    const int m = upstream.endpoint_index(name);
-    upstream.update_endpoint(m, at, state);
-    return m;
-  }
-  std::unique_ptr<Attempt> start_attempt(int m, int n, Seconds start_by = kNoTime,
-                                         std::string_view body = {}) {
-    ids.push_back(request_id(n));
-    return std::make_unique<Attempt>(
-        scheduler, upstream,
-        Attempt::Spec{m, m, static_cast<std::uint64_t>(0xa0 + n), ids.back(), body,
-                      "cls=page,item=7f3a9c21e0b4d655,chunk=0", scheduler.now() + 30, start_by, true, true});
-  }
-  UpstreamPool upstream;
-  std::deque<std::string> ids;
-};
-
 // A server that reads nothing, and so many attempts with large bodies for it that the last of them cannot
 // have been written to the socket.
 struct BackpressureFixture : UpstreamFixture {
@@ -146,31 +50,6 @@
   std::vector<std::unique_ptr<Attempt>> attempts;
 };
 
-struct ClientFixture : TestLoop {
-  ClientFixture()
-      : clients(
-            scheduler, outbox, log, std::move(listener.fd), {.connections = 8}, {{.name = "page"}},
-            [this](std::shared_ptr<ClientConnection> c, Request o) { serve(std::move(c), std::move(o)); }) {}
-  Fd connect(Fd fd = Fd(::socket(AF_INET, SOCK_STREAM, 0))) {
-    const int receive_buffer = 4096;
-    ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
-    sockaddr_in a{};
-    a.sin_family = AF_INET, a.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-    a.sin_port = htons(listener.address.port);
-    REQUIRE(::connect(fd.get(), reinterpret_cast<sockaddr*>(&a), sizeof a) == 0);
-    ::fcntl(fd.get(), F_SETFL, O_NONBLOCK);
-    return fd;
-  }
-  static std::string exec_command(int n) {
-    return resp_array_text({"EXEC", std::to_string(n), "page",
-                            "txn=" + request_id(n) + ",limit=9000,item=7f3a9c21e0b4d655,seg=0,bucket=1"});
-  }
-  std::function<void(std::shared_ptr<ClientConnection>, Request)> serve = [this](auto, auto) { ++served; };
-  int served = 0;
-  TestListener listener;
-  net::ClientListener clients;
-};
-
 }  // namespace
 
 TEST_CASE("given a server that reads nothing, when a client leaves, then its queued attempt is never sent") {
--- /dev/null
+++ b/tests/spoilt_messages.cpp
@@ -0,0 +1,160 @@
+// Messages that arrive with wrong lengths, or with noise in them: nothing of them takes effect, and no other
+// message suffers. Over loopback sockets, in one thread.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "connection_fixtures.h"
+#include "net/request_dispatcher.h"
+#include "platform.h"
+
+using namespace walkpaddle;
+using namespace walkpaddle::net;
+
+namespace {
+
+// Line ends within the body, so that a body that is cut short can still end with one.
+const std::string kBody = "7 sheets\r\n12 towels\r\n\r\nto room 31";
+
+struct SpoiltMessage {
+  std::string what;
+  std::string bytes;
+};
+
+// A message whose numbers on the wire are free: the number of strings, and the length of each.
+std::string encode(std::size_t count, const std::vector<std::string>& words,
+                   const std::vector<std::size_t>& lengths) {
+  std::string text = "*" + std::to_string(count) + "\r\n";
+  for (std::size_t n = 0; n < words.size(); ++n)
+    text += "$" + std::to_string(lengths[n]) + "\r\n" + words[n] + "\r\n";
+  return text;
+}
+
+// The message with each of its numbers wrong in turn.
+std::vector<SpoiltMessage> spoilt_variants(const std::vector<std::string>& words) {
+  constexpr std::size_t kMaxCount = 9;
+  std::vector<std::size_t> lengths;
+  for (const auto& word : words) lengths.push_back(word.size());
+  std::vector<SpoiltMessage> variants;
+  for (std::size_t count = 0; count <= kMaxCount; ++count)
+    if (count != words.size())
+      variants.push_back({fmt::format("{} strings", count), encode(count, words, lengths)});
+  for (std::size_t n = 0; n < words.size(); ++n) {
+    for (std::size_t length = 0; length <= words[n].size() + 4; ++length) {
+      if (length == words[n].size()) continue;
+      auto wrong = lengths;
+      wrong[n] = length;
+      variants.push_back(
+          {fmt::format("string {} of {} bytes", n, length), encode(words.size(), words, wrong)});
+    }
+  }
+  return variants;
+}
+
+// What a client of a router that serves every request is told, and what was served to it.
+struct WriteFixture : ClientFixture {
+  WriteFixture() : ClientFixture({{.name = "page"}, {.name = "order", .keyed = true, .effect = true}}) {
+    serve = [this](std::shared_ptr<ClientConnection> client, Request request) {
+      client->answer(request.tag, "RESULT", "etag=1", "done");
+      started.push_back(std::move(request.body));
+    };
+  }
+  std::vector<std::string> words(const std::string& request_class, const std::string& body) {
+    const auto fields =
+        fmt::format("txn={},limit=3000,unique=u,item=7f3a9c21e0b4d655,seg=0,bucket=1", request_id(next_id++));
+    return {"EXEC", "1", request_class, fields, body};
+  }
+  int next_id = 0;
+  std::vector<std::string> started;  // bodies of the requests that were started
+};
+
+}  // namespace
+
+// Guards against writes that run without a part of their body, and are answered as served (review/10).
+TEST_CASE("given a request with a wrong length, then it is not started and not answered as served") {
+  WriteFixture s;
+  const std::string request_class = GENERATE("order", "page");
+  s.run_scenario([&]() -> Task {
+    const auto body = request_class == "order" ? kBody : "";
+    for (const auto& spoilt : spoilt_variants(s.words(request_class, body))) {
+      const Fd client = s.connect();
+      send_all(client, spoilt.bytes);
+      co_await s.timer.wait(s.scheduler.now() + 0.002);
+      const auto answers = read_available(client);
+      INFO(request_class << " with " << spoilt.what << ": " << answers);
+      CHECK(s.started.empty());
+      CHECK(answers.find("RESULT") == std::string::npos);
+      s.started.clear();
+    }
+    s.scheduler.stop();
+  });
+}
+
+TEST_CASE("given a write with too few strings in pieces, then it is not started and not answered as served") {
+  WriteFixture s;
+  s.run_scenario([&]() -> Task {
+    const auto words = s.words("order", kBody);
+    auto message = resp_array_text({words[0], words[1], words[2], words[3], words[4]});
+    message.replace(0, 2, "*4");
+    for (std::size_t cut = 1; cut < message.size(); ++cut) {
+      const Fd client = s.connect();
+      send_all(client, message.substr(0, cut));
+      co_await s.timer.wait(s.scheduler.now() + 0.002);
+      send_all(client, message.substr(cut));
+      co_await s.timer.wait(s.scheduler.now() + 0.002);
+      INFO("cut at " << cut);
+      CHECK(s.started.empty());
+      CHECK(read_available(client).find("RESULT") == std::string::npos);
+      s.started.clear();
+    }
+    s.scheduler.stop();
+  });
+}
+
+TEST_CASE("given a request that was started, when its length proves wrong, then it is abandoned and fails") {
+  WriteFixture s;
+  const auto config = config::parse_platform_config(platform_config_json("n0", 1, 0, "", "{}"));
+  purge::PurgeRegistry purges({}, s.scheduler.now());
+  RequestDispatcher dispatcher(s.scheduler, 7, config.settings, purges);
+  std::optional<RequestHandle> handle;
+  s.serve = [&](std::shared_ptr<ClientConnection> client, Request request) {
+    handle.emplace(dispatcher, 0, 1, "object", 0, 1, request.deadline);
+    client->add_request(request.tag, *handle);
+  };
+  s.run_scenario([&]() -> Task {
+    const auto words = s.words("order", kBody);
+    const auto message = encode(5, words, {4, 1, 5, words[3].size(), kBody.find("\r\n")});
+    const auto first_part = message.size() - kBody.size() + kBody.find("\r\n");
+    const Fd client = s.connect();
+    send_all(client, message.substr(0, first_part));
+    WAIT_UNTIL(handle);
+    CHECK_FALSE(handle->has_client_left());
+    send_all(client, message.substr(first_part));
+    std::string got;
+    WAIT_UNTIL((got += read_available(client)).ends_with("|"));
+    CHECK(got == resp_array_text({"1", "ABORTED"}) + "|");
+    CHECK(handle->has_client_left());
+    s.scheduler.stop();
+  });
+}
+
+TEST_CASE(
+    "given sound requests, alone, in a row or before a message that begins wrongly, then all are started") {
+  WriteFixture s;
+  s.run_scenario([&]() -> Task {
+    const auto write = s.words("order", kBody);
+    const auto read = s.words("page", "");
+    const auto write_text = resp_array_text({write[0], "1", write[2], write[3], write[4]});
+    const auto read_text = resp_array_text({read[0], "2", read[2], read[3]});
+    const Fd client = s.connect();
+    send_all(client, write_text + read_text + "*-1\r\n");
+    std::string got;
+    WAIT_UNTIL((got += read_available(client)).ends_with("|"));
+    CHECK(s.started == std::vector<std::string>{kBody, ""});
+    CHECK(got == resp_array_text({"1", "RESULT", "etag=1", "done"}) +
+                     resp_array_text({"2", "RESULT", "etag=1", "done"}) + "|");
+    s.scheduler.stop();
+  });
+}
