Answers: noise in the fields of one answer no longer ends the router

Cause: UpstreamConnection::take_answer() took the attempt off its connection and then read the rest of the fields (ttfb, meter, tags), where field() throws on coming to the noise. The attempt stayed `written` with a null connection, and its next deadline read through it. Change: parse_endpoint_answer() checks each entry of the list (check_fields) and parses all that is used, before anything changes; the answer is stored before the attempt leaves its connection. On related paths: a connection whose task fails for any other reason ends its attempts in place of unlinking them (the same null pointer); fields of requests are checked whole too. Why this works: behind the release nothing can throw, and no attempt is left `written` without a connection.

--- a/src/net/client_request.cpp
+++ b/src/net/client_request.cpp
@@ -62,6 +62,7 @@
   if (request.has_effect && words.size() < kMostWords)
     throw_bad_value("number of words of a write", std::to_string(words.size()));
   const auto fields = words[3];
+  check_fields(fields);
   request.id_text = required_field(fields, "txn");
   request.id = parse_hex16(request.id_text, "txn");
   request.deadline = sent_at + parse_whole(required_field(fields, "limit"), "limit", 1, kMaxLimitMs) / 1e3;
--- a/src/net/endpoint_answer.cpp
+++ b/src/net/endpoint_answer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "base/hash.h"
 #include "base/text.h"
@@ -40,6 +41,13 @@
                                     FillOutcome::none);
 }
 
+std::vector<std::uint64_t> parse_tags(std::string_view text) {
+  constexpr std::size_t kMaxTags = 32;  // more than the purge index remembers of an object
+  std::vector<std::uint64_t> tags;
+  while (!text.empty() && tags.size() < kMaxTags) tags.push_back(stable_hash(take_field(text, '+')));
+  return tags;
+}
+
 }  // namespace
 
 EndpointAnswer parse_endpoint_answer(const std::vector<std::string_view>& words) {
@@ -49,25 +57,24 @@
   answer.not_modified = words[1] == "still_good";
   if (words.size() > 2) answer.fields = words[2];
   if (words.size() > 3) answer.body = words[3];
+  check_fields(answer.fields);
   answer.fill = parse_fill(field(answer.fields, "tell").value_or(""));
   if (const auto age = field(answer.fields, "age"))
     answer.age = std::max(0.0, parse<double>(*age, "age") / 1e3);
   answer.etag = field(answer.fields, "etag").value_or("");
+  answer.report = parse_answer_report(answer.fields);
+  if (const auto tags = field(answer.fields, "tags")) answer.tags = parse_tags(*tags);
   return answer;
 }
 
-void store_answer(const EndpointAnswer& answer, AttemptResult& result) {
-  constexpr std::size_t kMaxTags = 32;  // more than the purge index remembers of an object
+void store_answer(EndpointAnswer answer, AttemptResult& result) {
   result.fill = answer.fill;
-  result.report = parse_answer_report(answer.fields);
+  result.report = answer.report;
   result.not_modified = answer.not_modified;
   result.etag = answer.etag;
   result.age = answer.age;
-  if (auto tags = field(answer.fields, "tags")) {
-    result.tags_reported = true;
-    while (!tags->empty() && result.tags.size() < kMaxTags)
-      result.tags.push_back(stable_hash(take_field(*tags, '+')));
-  }
+  result.tags_reported = answer.tags.has_value();
+  result.tags = std::move(answer.tags).value_or(std::vector<std::uint64_t>());
   result.body = answer.body;
 }
 
--- a/src/net/endpoint_answer.h
+++ b/src/net/endpoint_answer.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
 #include "base/time.h"
+#include "net/resp_parser.h"
 #include "routing/types.h"
 
 namespace walkpaddle::net {
@@ -22,15 +24,17 @@
   Seconds age = -1;                                ///< age of the copy; -1 if not reported
   std::string_view etag;                           ///< ETag of the copy; empty if not reported
   std::string_view fields;                         ///< the whole list of fields
-  std::string_view body;                           ///< empty if there is none
+  AnswerReport report;                             ///< reported measurements
+  std::optional<std::vector<std::uint64_t>>
+      tags;               ///< stable hashes of the copy's tags; nullopt: not reported
+  std::string_view body;  ///< empty if there is none
 };
 
 /// Parses the words of an answer: the request's id, the outcome, and optionally fields and a body. Throws
-/// InputError if the id, the outcome or a field is malformed.
+/// InputError if the id, the outcome or any entry of the fields is malformed.
 EndpointAnswer parse_endpoint_answer(const std::vector<std::string_view>& words);
 
-/// Copies the answer, with its tags and reported measurements, to `result`; only the outcome is left as it
-/// is. Throws InputError for a malformed field.
-void store_answer(const EndpointAnswer& answer, AttemptResult& result);
+/// Stores the answer in `result`; only the outcome is left as it is.
+void store_answer(EndpointAnswer answer, AttemptResult& result);
 
 }  // namespace walkpaddle::net
--- a/src/net/resp_parser.cpp
+++ b/src/net/resp_parser.cpp
@@ -84,6 +84,14 @@
   return text;
 }
 
+void check_fields(std::string_view fields) {
+  if (fields == "-") return;
+  while (!fields.empty()) {
+    const auto entry = take_field(fields, ',');
+    if (entry.find('=') == std::string_view::npos) throw_bad_value("field", entry);
+  }
+}
+
 std::optional<std::string_view> field(std::string_view fields, std::string_view name) {
   if (fields == "-") return std::nullopt;
   while (!fields.empty()) {
--- a/src/net/resp_parser.h
+++ b/src/net/resp_parser.h
@@ -40,6 +40,9 @@
 /// Encodes an array of these strings.
 std::string resp_array_text(std::initializer_list<std::string_view> words);
 
+/// Throws InputError unless `fields` is a list such as "name=value,name=value", or "-".
+void check_fields(std::string_view fields);
+
 /// The value of a field in a list such as "name=value,name=value", where "-" is the empty list; nullopt if
 /// the field is absent. Throws InputError if an entry up to that field has no '='.
 std::optional<std::string_view> field(std::string_view fields, std::string_view name);
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -112,11 +112,6 @@
   late_answer_ids_.pop_front();
 }
 
-void UpstreamConnection::detach_attempts() {
-  for (const auto& [id, attempt] : open_)
-    if (attempt != nullptr) attempt->connection_ = nullptr;
-}
-
 void UpstreamConnection::end_attempts() {
   for (const auto& [id, attempt] : std::exchange(open_, {}))
     if (attempt != nullptr) attempt->connection_ended(stream_.flushed());
@@ -228,20 +223,20 @@
 void UpstreamConnection::take_answer(const std::vector<std::string_view>& words, CommandListener* listener) {
   if (words.size() < 2) throw_bad_value("answer", "");
   if (listener != nullptr && words[0] == "purges") return listener->command_answered(endpoint_.index, words);
-  const auto answer = parse_endpoint_answer(words);
+  auto answer = parse_endpoint_answer(words);  // all of it, before anything changes
+  const auto outcome = answer.outcome;
   const auto it = open_.find(answer.id);
   if (it == open_.end()) return;
   Attempt* const attempt = it->second;
   used_at_ = scheduler_.now();
   if (attempt == nullptr) return;
-  release(*attempt, false);
-  attempt->connection_ = nullptr;
   auto& result = attempt->result_;
   result.memory_wait = memory_wait() - attempt->memory_wait_before_;
   endpoint_.add_response_time(scheduler_.now() - attempt->written_at_ - result.memory_wait);
-  store_answer(answer, result);
+  store_answer(std::move(answer), result);
   result.body_memory = BufferBudget::Lease(budget_, result.body.size());
-  attempt->finish(answer.outcome);
+  release(*attempt, false);
+  attempt->finish(outcome);
 }
 
 }  // namespace walkpaddle::net
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -119,8 +119,6 @@
   bool withdraw(Attempt& attempt);
   /// Ends the wait for an attempt's answer. `may_be_answered`: an answer may still arrive.
   void release(const Attempt& attempt, bool may_be_answered);
-  /// Unlinks the attempts in flight without ending them, for when the pool's tasks are dropped first.
-  void detach_attempts();
   /// Ends each attempt in flight, or queues it again, because the connection has ended.
   void end_attempts();
 
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -35,7 +35,7 @@
   bool dial_over_ = false;
 };
 
-// Lists a connection while its task exists, and unlinks its attempts in case the task is dropped before
+// Lists a connection while its task exists. Ends its attempts in case the task fails, or is dropped before
 // theirs.
 class UpstreamPool::Registration {
  public:
@@ -48,7 +48,7 @@
   Registration(const Registration&) = delete;
   Registration& operator=(const Registration&) = delete;
   ~Registration() {
-    connection_.detach_attempts();
+    connection_.end_attempts();
     endpoint_.connections.erase(at_endpoint_);
     pool_.connections_.erase(in_pool_);
   }
--- a/tests/spoilt_messages.cpp
+++ b/tests/spoilt_messages.cpp
@@ -1,7 +1,10 @@
 // Messages that arrive with wrong lengths, or with noise in them: nothing of them takes effect, and no other
 // message suffers. Over loopback sockets, in one thread.
 #define CATCH_CONFIG_MAIN
+#include <fmt/ranges.h>
+
 #include <catch2/catch.hpp>
+#include <new>
 #include <optional>
 #include <string>
 #include <vector>
@@ -70,8 +73,81 @@
   std::vector<std::string> started;  // bodies of the requests that were started
 };
 
+// An endpoint, and attempts at it whose answers the test writes.
+struct AnswerFixture : UpstreamFixture {
+  AnswerFixture() { endpoint = update_endpoint("s-1", listener.address); }
+  std::string answer(int n, const std::string& word, const std::string& fields, const std::string& body) {
+    return resp_array_text({request_id(n), word, fields, body});
+  }
+  TestListener listener;
+  int endpoint = -1;
+};
+
+// Waits for the end of an attempt, as the task that owns it does.
+#define END_OF(attempt)      \
+  while (!(attempt).ended()) \
+    if (const bool changed = co_await (attempt).wait(); !changed) (attempt).on_timer()
+
 }  // namespace
 
+// Guards against a router that ends by SIGSEGV when the fields of an answer hold noise (review/6).
+TEST_CASE("given noise in the fields of an answer, then its attempt fails and the next one is served") {
+  AnswerFixture s;
+  const std::vector<std::string> fields = {"etag=v1", "made=1796506444524", "tell=parent", "age=1",
+                                           "ttfb=4",  "meter=util:0.5",     "tags=a+b"};
+  s.run_scenario([&]() -> Task {
+    int n = 0;
+    for (std::size_t noisy = 0; noisy <= fields.size(); ++noisy) {
+      auto spoilt = fields;
+      spoilt.insert(spoilt.begin() + static_cast<std::ptrdiff_t>(noisy), "noise#######");
+      const auto text = fmt::format("{}", fmt::join(spoilt, ","));
+      const auto attempt = s.start_attempt(s.endpoint, ++n);
+      Fd server;
+      WAIT_UNTIL(server = s.listener.accept());
+      const auto other = s.start_attempt(s.endpoint, ++n);  // on the same connection
+      WAIT_UNTIL(read_available(server).find(request_id(n)) != std::string::npos);
+      send_all(server, s.answer(n - 1, "served", text, "body"));
+      END_OF(*attempt);
+      END_OF(*other);
+      INFO(text);
+      CHECK(attempt->result().outcome == AttemptOutcome::connection_broken);
+      CHECK(other->result().outcome == AttemptOutcome::connection_broken);
+    }
+    const auto attempt = s.start_attempt(s.endpoint, ++n);
+    Fd server;
+    WAIT_UNTIL(server = s.listener.accept());
+    send_all(server, s.answer(n, "served", fmt::format("{}", fmt::join(fields, ",")), "body"));
+    END_OF(*attempt);
+    CHECK(attempt->result().outcome == AttemptOutcome::served);
+    CHECK(attempt->result().tags.size() == 2);
+    CHECK(attempt->result().report.fill_wait == Approx(0.004));
+    s.scheduler.stop();
+  });
+}
+
+// Guards against the same end of the router where a connection's task fails for another reason.
+TEST_CASE("given a connection whose task fails, then its attempts end") {
+  struct FailingListener final : CommandListener {
+    void command_answered(int, const std::vector<std::string_view>&) override { throw std::bad_alloc(); }
+    void connection_lost(int) override {}
+  } failing_listener;
+  AnswerFixture s;
+  int failures = 0;
+  s.scheduler.on_failure([&](const std::exception_ptr&) { ++failures; });
+  s.upstream.set_command_listener(failing_listener);
+  s.run_scenario([&]() -> Task {
+    const auto attempt = s.start_attempt(s.endpoint, 1);
+    Fd server;
+    WAIT_UNTIL(server = s.listener.accept());
+    WAIT_UNTIL(read_available(server).find(request_id(1)) != std::string::npos);
+    send_all(server, resp_array_text({"purges", "cursor", "run", "1"}));
+    END_OF(*attempt);
+    CHECK(failures == 1);
+    CHECK(attempt->result().outcome == AttemptOutcome::connection_broken);
+    s.scheduler.stop();
+  });
+}
+
 // Guards against writes that run without a part of their body, and are answered as served (review/10).
 TEST_CASE("given a request with a wrong length, then it is not started and not answered as served") {
   WriteFixture s;
