Answers: one with a wrong length fails its attempt and is not passed on as an empty object

Cause: parse_endpoint_answer() took fields and body if the array had them, and no outcome demanded them; as with requests the answer took effect before the bytes behind it were found to begin no answer. Change: an answer whose next bytes begin no answer is malformed, whatever it says, also one to a purge command. For where those bytes come later, `served` has four strings, `still_good` three or four, no answer more than four, an answer to a purge command exactly four. Why this works: the count is all that told a served object from its first strings, and a wrong length leaves bytes behind. Sound answers with a copy behind them, or behind one to an unknown id, are served as before (a case of the test).

--- a/src/net/endpoint_answer.cpp
+++ b/src/net/endpoint_answer.cpp
@@ -48,6 +48,15 @@
   return tags;
 }
 
+// A result comes with its fields, and with its body unless the client's copy is current. Other outcomes may
+// lack both.
+void check_size(const std::vector<std::string_view>& words) {
+  constexpr std::size_t kMostWords = 4;
+  const auto least_words = value_of_name<std::size_t>(words[1], {{"served", 4}, {"still_good", 3}}, 2);
+  if (words.size() < least_words || words.size() > kMostWords)
+    throw_bad_value("number of words of an answer", std::to_string(words.size()));
+}
+
 }  // namespace
 
 EndpointAnswer parse_endpoint_answer(const std::vector<std::string_view>& words) {
@@ -55,6 +64,7 @@
   answer.id = parse<std::uint64_t>(words[0], "id", 16);
   answer.outcome = parse_outcome(words[1]);
   answer.not_modified = words[1] == "still_good";
+  check_size(words);
   if (words.size() > 2) answer.fields = words[2];
   if (words.size() > 3) answer.body = words[3];
   check_fields(answer.fields);
--- a/src/net/endpoint_answer.h
+++ b/src/net/endpoint_answer.h
@@ -30,8 +30,9 @@
   std::string_view body;  ///< empty if there is none
 };
 
-/// Parses the words of an answer: the request's id, the outcome, and optionally fields and a body. Throws
-/// InputError if the id, the outcome or any entry of the fields is malformed.
+/// Parses the words of an answer: the request's id, the outcome, fields and body. Only an outcome without a
+/// result may lack fields and body. Throws InputError if words are missing or too many, or if the id, the
+/// outcome or any entry of the fields is malformed.
 EndpointAnswer parse_endpoint_answer(const std::vector<std::string_view>& words);
 
 /// Stores the answer in `result`; only the outcome is left as it is.
--- a/src/net/purge_notifier.cpp
+++ b/src/net/purge_notifier.cpp
@@ -45,7 +45,7 @@
     return log_("purge", "{} does not support purge commands; only the age of its copies is checked",
                 upstream_.id(server));
   }
-  if (words.size() < 4) throw_bad_value("answer to a purge command", "");
+  if (words.size() != 4) throw_bad_value("answer to a purge command", "");
   if (words[2] != run_) return;  // answers a command of an earlier run
   const auto position = parse<std::uint64_t>(words[3], "position");
   if (words[1] == "cursor") return delivery.cursor_reported(server, position);
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -210,6 +210,9 @@
     for (;;) {
       read_resp_array(stream_.in(), kMaxWords, kMaxBytes, answer);
       if (answer.used == 0) return true;
+      // Otherwise a length or the number of strings in this answer was wrong, and it may lack a part.
+      if (!may_begin_resp_array(stream_.in().substr(answer.used)))
+        throw_bad_value("bytes behind an answer", stream_.in().substr(answer.used));
       take_answer(answer.words, listener);
       stream_.consume(answer.used);
       ++answers_;
--- a/tests/spoilt_messages.cpp
+++ b/tests/spoilt_messages.cpp
@@ -148,6 +148,69 @@
   });
 }
 
+// Guards against answers that reach a client as served without a part of their body (review/7).
+TEST_CASE("given an answer with a wrong length, then its attempt fails, whatever the answer says") {
+  AnswerFixture s;
+  const std::string word = GENERATE("served", "still_good", "not_here", "overload");
+  s.run_scenario([&]() -> Task {
+    const auto body = word == "served" ? kBody : "";
+    for (const auto& spoilt : spoilt_variants({request_id(1), word, "etag=v1,tell=mem", body})) {
+      const auto attempt = s.start_attempt(s.endpoint, 1);
+      Fd server;
+      WAIT_UNTIL(server = s.listener.accept());
+      WAIT_UNTIL(read_available(server).find("serve") != std::string::npos);
+      send_all(server, spoilt.bytes);
+      co_await s.timer.wait(s.scheduler.now() + 0.002);
+      server = Fd();  // an answer that is too short for its lengths ends here
+      END_OF(*attempt);
+      INFO(word << " with " << spoilt.what);
+      CHECK(attempt->result().outcome == AttemptOutcome::connection_broken);
+    }
+    s.scheduler.stop();
+  });
+}
+
+TEST_CASE("given an answer with too few strings in pieces, then its attempt fails") {
+  AnswerFixture s;
+  s.run_scenario([&]() -> Task {
+    auto message = s.answer(1, "served", "etag=v1,tell=mem", kBody);
+    message.replace(0, 2, "*3");
+    for (std::size_t cut = 1; cut < message.size(); ++cut) {
+      const auto attempt = s.start_attempt(s.endpoint, 1);
+      Fd server;
+      WAIT_UNTIL(server = s.listener.accept());
+      WAIT_UNTIL(read_available(server).find("serve") != std::string::npos);
+      send_all(server, message.substr(0, cut));
+      co_await s.timer.wait(s.scheduler.now() + 0.002);
+      ::send(server.get(), message.data() + cut, message.size() - cut, MSG_NOSIGNAL);
+      END_OF(*attempt);
+      INFO("cut at " << cut);
+      CHECK(attempt->result().outcome == AttemptOutcome::connection_broken);
+    }
+    s.scheduler.stop();
+  });
+}
+
+TEST_CASE("given sound answers, also twice or behind one to an unknown id, then their attempts are served") {
+  AnswerFixture s;
+  s.run_scenario([&]() -> Task {
+    const auto first = s.start_attempt(s.endpoint, 1);
+    Fd server;
+    WAIT_UNTIL(server = s.listener.accept());
+    const auto second = s.start_attempt(s.endpoint, 2);
+    WAIT_UNTIL(read_available(server).find(request_id(2)) != std::string::npos);
+    const auto answer = s.answer(1, "served", "etag=v1,tell=mem", kBody);
+    send_all(server, s.answer(9, "served", "etag=v9", "unknown") + answer + answer +
+                         resp_array_text({request_id(2), "not_here"}));
+    END_OF(*first);
+    END_OF(*second);
+    CHECK(first->result().outcome == AttemptOutcome::served);
+    CHECK(first->result().body == kBody);
+    CHECK(second->result().outcome == AttemptOutcome::not_cached);
+    s.scheduler.stop();
+  });
+}
+
 // Guards against writes that run without a part of their body, and are answered as served (review/10).
 TEST_CASE("given a request with a wrong length, then it is not started and not answered as served") {
   WriteFixture s;
