Purges: positions go on over a restart, so a new purge reaches the cache servers

Cause: a cache server's cursor is a position in the router's log under a series name that the store keeps over restarts. The positions were not kept: PurgeLog took the highest one of the stored entries, so it began at 0 once all had expired. The purge had position 1, and PurgeDelivery::cursor_reported() cut the cursor 3 of before to the end of the log, which confirmed it. Change: the store keeps the last erased position (key "p"), written before the erasure; restores begin there. A cursor past the end of the log confirms nothing, where it confirmed all. Stores of earlier releases don't tell their positions: the series has a new name, so each cache server is sent the purges of the log once more after the update. On related paths: stored purges at positions that were erased before get new ones; a purge that a restore has no room for keeps its position from being given again. Why this works: within a series no position is given twice, so position > cursor means unsent; nothing is sent before it is stored.

--- a/src/net/purge_notifier.h
+++ b/src/net/purge_notifier.h
@@ -21,7 +21,7 @@
 /// everything runs on the scheduler's one thread.
 class PurgeNotifier final : CommandListener {
  public:
-  /// `run`: identifies the series of log positions; cursors of another run are not comparable.
+  /// `run`: name of the series of log positions; cursors of another series are not comparable.
   PurgeNotifier(Scheduler& scheduler, Log& log, purge::PurgeRegistry& purges, UpstreamPool& upstream,
                 std::string run);
   PurgeNotifier(const PurgeNotifier&) = delete;
--- a/src/purge/purge_delivery.cpp
+++ b/src/purge/purge_delivery.cpp
@@ -29,7 +29,8 @@
 void PurgeDelivery::cursor_reported(int server, std::uint64_t position) {
   auto& s = at(server);
   s.state = State::delivering;
-  s.confirmed = std::min(position, log_.last_position());
+  // A cursor past the end of the log is of a log that was lost, or garbled: all purges are sent again.
+  s.confirmed = position <= log_.last_position() ? position : 0;
   s.sent = s.confirmed;
   s.retry_at = 0;
 }
--- a/src/purge/purge_delivery.h
+++ b/src/purge/purge_delivery.h
@@ -38,7 +38,8 @@
   void connection_lost(int server);
   /// Reports that a message could not be sent, since there is no connection yet. Sending is retried shortly.
   void postpone(int server, Seconds now);
-  /// Sets the cursor that the cache server reported, 0 if it has no purge from this router.
+  /// Sets the cursor that the cache server reported, 0 if it has no purge from this router. A cursor past the
+  /// end of the log counts as 0.
   void cursor_reported(int server, std::uint64_t position);
   /// Records that the cache server confirmed all purges up to `position`.
   void confirmed(int server, std::uint64_t position, Seconds now);
--- a/src/purge/purge_log.h
+++ b/src/purge/purge_log.h
@@ -6,6 +6,7 @@
 /// Threads: not thread-safe. Pointers and references to entries are valid until trim() drops the entry.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -61,10 +62,14 @@
     return restore({stamp, kind, std::string(target), now, kNextPosition}, now, added);
   }
 
-  /// Adds a purge from the store with its stored `valid_since` and position. Calls must be in order of
-  /// position.
+  /// Adds a purge from the store with its stored `valid_since` and position. If that position was skipped,
+  /// the purge has the next one. Calls must be in order of position.
   AddResult restore(PurgeEntry entry, Seconds now, const PurgeEntry** added = nullptr);
 
+  /// Gives no position up to this one to a later entry: they were given before a restart, and cache servers
+  /// may have confirmed them.
+  void skip_positions(std::uint64_t position) { last_position_ = std::max(last_position_, position); }
+
   /// Moves the issuer's run past the numbers up to `dropped`, which may no longer be in any log.
   /// `evicted_valid_since` is the newest `valid_since` of those dropped for lack of space, 0 for none; the
   /// caller must first treat all copies from before that time as stale.
--- a/src/purge/purge_registry.cpp
+++ b/src/purge/purge_registry.cpp
@@ -125,6 +125,7 @@
   // If the clock was set back since the purge was stored, its valid_since must not be in the future.
   restored.valid_since = std::min(entry.valid_since, now);
   log_.restore(std::move(restored), now, &added);
+  log_.skip_positions(entry.position);  // also where the log has no room for the entry
   if (added != nullptr) put_in_force(*added);
 }
 
@@ -196,7 +197,7 @@
   log_.trim(now, kMaxDropsPerTrim, [&](const PurgeEntry& entry) {
     // The queue may be full while writes fail. Entries left in the store are dropped again after a restart.
     if (is_disk_backed() && entry.position <= stored_position_ && to_erase_.size() < kMaxErasuresPending)
-      to_erase_.push_back(entry.stamp);
+      to_erase_.push_back({entry.stamp, entry.position});
   });
 }
 
--- a/src/purge/purge_registry.h
+++ b/src/purge/purge_registry.h
@@ -81,7 +81,15 @@
   /// Must be called once after each message passed to replication().
   void after_input(Seconds now);
 
-  /// First step of a restore from a store: the issuer's numbers up to `dropped` had been dropped.
+  /// An entry that was dropped from the log and is still in the store.
+  struct Erasure {
+    PurgeStamp stamp;            ///< its key
+    std::uint64_t position = 0;  ///< its position in the log
+  };
+
+  /// First step of a restore from a store: entries up to this position had been erased from it.
+  void restore_erased(std::uint64_t position) { log_.skip_positions(position); }
+  /// Also a first step: the issuer's numbers up to `dropped` had been dropped.
   void restore_dropped(std::uint64_t issuer, std::uint64_t dropped, Seconds evicted_valid_since, Seconds now);
   /// Second step: adds the stored entries, in order of position.
   void restore(const PurgeEntry& entry, Seconds now);
@@ -92,7 +100,7 @@
   /// Records that the store has queued the entry. mark_stored() follows once it is durable.
   void mark_queued(const PurgeEntry& entry) { queued_position_ = entry.position; }
   /// The next entry to erase from the store; null if there is none.
-  const PurgeStamp* next_to_erase() const { return to_erase_.empty() ? nullptr : &to_erase_.front(); }
+  const Erasure* next_to_erase() const { return to_erase_.empty() ? nullptr : &to_erase_.front(); }
   /// Records that the store has queued the erasure of next_to_erase().
   void mark_erased() { to_erase_.pop_front(); }
   /// Records that all entries up to this position are durable.
@@ -147,7 +155,7 @@
   std::uint64_t version_ = 0;
   std::uint64_t stored_position_ = 0;
   std::uint64_t queued_position_ = 0;  // last position passed to the store
-  std::deque<PurgeStamp> to_erase_;
+  std::deque<Erasure> to_erase_;
   std::deque<std::pair<PurgeStamp, Seconds>> issued_;  // latest purges issued here; 0 or time of acceptance
 };
 
--- a/src/replication/purge_persister.cpp
+++ b/src/replication/purge_persister.cpp
@@ -16,9 +16,10 @@
 
 using purge::PurgeEntry, purge::PurgeStamp;
 
-// Keys: "e" with issuer and number for an entry; "b" with the issuer for its DroppedRecord; "r" for the
-// identity.
+// Keys: "e" with issuer and number for an entry; "b" with the issuer for its DroppedRecord; "p" for the last
+// position that was erased; "r" for the identity.
 constexpr std::string_view kIdentityKey = "r";
+constexpr std::string_view kErasedPositionKey = "p";
 constexpr char kEntryPrefix = 'e';
 constexpr char kDroppedPrefix = 'b';
 constexpr std::size_t kNumberBytes = 8;
@@ -62,6 +63,12 @@
   return fresh_identity;
 }
 
+std::string position_series(const std::string& identity) {
+  // Earlier releases began their positions anew at some restarts and used the identity alone.
+  constexpr std::string_view kSuffix = "-2";
+  return identity + std::string(kSuffix);
+}
+
 PurgePersister::PurgePersister(Scheduler& scheduler, Log& log, purge::PurgeRegistry& purges,
                                store::Store& store)
     : scheduler_(scheduler), log_(log), purges_(purges), store_(store) {
@@ -81,6 +88,8 @@
       } else if (key.starts_with(kDroppedPrefix)) {
         const auto record = parse_dropped(key, value);
         purges_.restore_dropped(record.issuer, record.dropped, record.evicted_valid_since, now);
+      } else if (key == kErasedPositionKey) {
+        purges_.restore_erased(parse_number(value));
       }
     });
   } catch (const InputError& e) {
@@ -117,19 +126,25 @@
   return true;
 }
 
+// The records are written before the erasure: a crash between them only leaves an entry that is not needed.
 void PurgePersister::erase_dropped() {
-  while (const auto* stamp = purges_.next_to_erase()) {
-    const auto progress = purges_.log().progress(stamp->issuer);
-    // Rounded up, since a later time covers at least as many copies.
-    const auto evicted_micros = static_cast<std::uint64_t>(progress.evicted_valid_since / kMicrosecond) +
-                                (progress.evicted_valid_since > 0 ? 1 : 0);
-    const auto key = store::encode_key({kDroppedPrefix}, {stamp->issuer});
-    // The record is written before the erasure: a crash between the two only leaves an entry that is not
-    // needed.
-    if (!store_.put(key, store::encode_key("", {progress.dropped, evicted_micros}), 0)) return;
-    if (!store_.erase(entry_key(*stamp))) return;
+  while (const auto* erasure = purges_.next_to_erase()) {
+    if (!put_dropped(erasure->stamp.issuer)) return;
+    if (!store_.put(std::string(kErasedPositionKey), store::encode_key("", {erasure->position}), 0)) return;
+    if (!store_.erase(entry_key(erasure->stamp))) return;
     purges_.mark_erased();
   }
 }
 
+bool PurgePersister::put_dropped(std::uint64_t issuer) {
+  const auto progress = purges_.log().progress(issuer);
+  // Rounded up, since a later time covers at least as many copies.
+  const auto evicted_micros = static_cast<std::uint64_t>(progress.evicted_valid_since / kMicrosecond) +
+                              (progress.evicted_valid_since > 0 ? 1 : 0);
+  return store_
+      .put(store::encode_key({kDroppedPrefix}, {issuer}),
+           store::encode_key("", {progress.dropped, evicted_micros}), 0)
+      .has_value();
+}
+
 }  // namespace walkpaddle::replication
--- a/src/replication/purge_persister.h
+++ b/src/replication/purge_persister.h
@@ -17,6 +17,10 @@
 /// then stored. A router whose store was removed therefore becomes a new issuer.
 std::string load_or_create_identity(store::Store& store, const std::string& fresh_identity);
 
+/// The name of the series of positions in the purge log of this identity. Within a series no position is
+/// given twice, so that the cursors of cache servers stay comparable over restarts.
+std::string position_series(const std::string& identity);
+
 /// Connects a purge registry to its store. Lifetime: all constructor arguments must outlive it. Threads: only
 /// the scheduler's thread.
 class PurgePersister final : Scheduler::Watcher {
@@ -35,6 +39,7 @@
   void restore();
   bool store_new();  // false if the store accepts no more writes now
   void erase_dropped();
+  bool put_dropped(std::uint64_t issuer);  // false if the store accepts no more writes now
 
   Scheduler& scheduler_;
   Log& log_;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -5,6 +5,7 @@
 
 #include "guard/guard.h"
 #include "net/request_handler.h"
+#include "replication/purge_persister.h"
 #include "server/fleet_setup.h"
 
 namespace walkpaddle::server {
@@ -85,8 +86,8 @@
        config_.descriptor_limit, config_.memory_mb);
   connect_fleet();
   if (operator_config_.notify_purges)
-    purge_notifier_ =
-        std::make_unique<net::PurgeNotifier>(scheduler_, log_, purges_, upstream_, purge_log_identity_);
+    purge_notifier_ = std::make_unique<net::PurgeNotifier>(scheduler_, log_, purges_, upstream_,
+                                                           replication::position_series(purge_log_identity_));
   if (!operator_config_.admin_socket.empty()) open_admin_socket();
   memory_monitor_.start();
   lifecycle_.start(rollout_agent_);
--- a/tests/fleet_world.cpp
+++ b/tests/fleet_world.cpp
@@ -77,6 +77,7 @@
     bool up = false;
     std::vector<PurgeEntry> disk;
     std::map<std::uint64_t, std::pair<std::uint64_t, Seconds>> dropped_by_issuer;
+    std::uint64_t erased_position = 0;
     struct Write {
       Seconds done_at;
       std::uint64_t position;
@@ -111,6 +112,7 @@
     s.max_copy_age = 1000, s.max_entries = profile_.max_entries;
     node.purges = std::make_unique<PurgeRegistry>(s, local_time(n));
     node.writes.clear();
+    node.purges->restore_erased(node.erased_position);
     for (const auto& [issuer, dropped] : node.dropped_by_issuer)
       node.purges->restore_dropped(issuer, dropped.first, dropped.second, local_time(n));
     for (const auto& e : node.disk) node.purges->restore(e, local_time(n));
@@ -180,8 +182,9 @@
     }
     p.trim(local_time(n));
     while (const auto* erased = p.next_to_erase()) {
-      const auto issuer = erased->issuer;
-      std::erase_if(node.disk, [&](const PurgeEntry& d) { return d.stamp == *erased; });
+      const auto issuer = erased->stamp.issuer;
+      std::erase_if(node.disk, [&](const PurgeEntry& d) { return d.stamp == erased->stamp; });
+      node.erased_position = erased->position;
       p.mark_erased();
       const auto progress = p.log().progress(issuer);
       node.dropped_by_issuer[issuer] = {progress.dropped, progress.evicted_valid_since};
