Soak: spoilt numbers of strings, lengths and fields, and bodies compared whole

Change: answers_spoilt and clients_spoil draw a wrong number of strings, a wrong length, noise in the fields or in front (soak/spoilt_message.cpp). The oracle compares answers and writes with what was sent, invariant body_unchanged. Writes of the soak have line ends in their body.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -9,6 +9,7 @@
 #include "base/text.h"
 #include "config/settings.h"
 #include "net/resp_parser.h"
+#include "soak/spoilt_message.h"
 
 namespace walkpaddle::soak {
 
@@ -116,7 +117,7 @@
   if (!r.key.empty()) fields += ",unique=" + r.key;
   if (!r.etag.empty()) fields += ",etag=" + r.etag;
   return net::resp_array_text({"EXEC", tag, kClasses[static_cast<int>(r.effect)], fields,
-                               r.effect == Idempotency::idempotent ? "" : "some bytes"});
+                               r.effect == Idempotency::idempotent ? "" : kWriteBody});
 }
 
 void Clients::read_answers(Session& c) {
@@ -334,6 +335,14 @@
   co_await pause.wait(until);
 }
 
+// A write whose id no other request has, with a wrong length or noise in it.
+std::string Clients::spoilt_write() {
+  constexpr std::size_t kFieldsIndex = 3;
+  const auto fields = fmt::format("txn={:016x},limit=2000,item={:016x},seg=0,bucket=1", random_(), random_());
+  return spoil_message(net::resp_array_text({"EXEC", "1", "order", fields, kWriteBody}), kFieldsIndex,
+                       random_);
+}
+
 // Sends invalid messages, partial messages and large amounts of invalid data.
 Task Clients::send_malformed() {
   Event pause(scheduler_);
@@ -348,6 +357,8 @@
       connection->write("*3\r\n$4\r\nEXEC\r\n$-7\r\n" + std::string(2000, '\x80'));
     else if (kind < 0.6)
       connection->write(net::resp_array_text({"EXEC", "1", "page", "txn=zz,limit=-1"}));
+    else if (kind < 0.7)
+      connection->write(spoilt_write());
     else if (kind < 0.8)
       connection->write("*5\r\n$4\r\nEXEC\r\n$1\r\n1\r\n$4\r\npa");
     else
--- a/soak/clients.h
+++ b/soak/clients.h
@@ -38,6 +38,7 @@
   Task run_connection();
   Task open_idle_connections(int connections, Seconds until);
   Task send_malformed();
+  std::string spoilt_write();
   Task close_unread();
   void repeat_ids(Session& c);
   std::shared_ptr<FaultyConnection> connect_to_router();
--- a/soak/crowd.cpp
+++ b/soak/crowd.cpp
@@ -3,6 +3,7 @@
 #include <fmt/core.h>
 
 #include "net/resp_parser.h"
+#include "soak/oracle.h"
 
 namespace walkpaddle::soak {
 
@@ -47,7 +48,7 @@
   std::string text;
   for (int tag = 1; tag <= count; ++tag)
     text += net::resp_array_text({"EXEC", std::to_string(tag), chance(0.9) ? "page" : "order",
-                                  request_fields(chance(0.5) ? 2000 : 5000), ""});
+                                  request_fields(chance(0.5) ? 2000 : 5000), kWriteBody});
   return text;
 }
 
--- a/soak/endpoint.cpp
+++ b/soak/endpoint.cpp
@@ -8,6 +8,7 @@
 #include "base/text.h"
 #include "config/settings.h"
 #include "net/resp_parser.h"
+#include "soak/spoilt_message.h"
 
 namespace walkpaddle::soak {
 
@@ -167,6 +168,8 @@
       open.requests.erase(parse<std::uint64_t>(w[1], "id", 16));
     } else if (w[0] == "serve" && w.size() > 2) {
       const auto id = parse<std::uint64_t>(w[1], "id", 16);
+      if (net::field(w[2], "cls") != "page")
+        oracle_.record_write(setup_.number, w.size() > 3 ? w[3] : std::string_view());
       const auto source = net::field(w[2], "src").value_or("");
       Oracle::Attempt attempt{.server = setup_.number,
                               .at = unix_now(),
@@ -206,7 +209,7 @@
                                   std::string& confirmed_etag) {
   const auto id_text = fmt::format("{:016x}", id);
   const auto cls = net::field(fields, "cls").value_or("");
-  if (cls != "page") return net::resp_array_text({id_text, "served", "tell=origin", "done " + id_text});
+  if (cls != "page") return net::resp_array_text({id_text, "served", "tell=origin", write_result(id)});
   const std::string item(net::field(fields, "item").value_or("")),
       chunk(net::field(fields, "chunk").value_or(""));
   const auto key = item + "." + chunk;
@@ -234,10 +237,7 @@
     confirmed_etag = tag;
     return net::resp_array_text({id_text, "still_good", answer_fields});
   }
-  // Body sizes range from 16 bytes to some tens of kilobytes and are fixed for each object part.
-  const auto size = 16 + stable_hash(key) % 97 * (stable_hash(key) % 31 == 0 ? 600 : 20);
-  return net::resp_array_text(
-      {id_text, "served", answer_fields, fmt::format("{}.{}.", item, chunk) + std::string(size, 'x')});
+  return net::resp_array_text({id_text, "served", answer_fields, object_body(item, chunk)});
 }
 
 Task Endpoint::serve(std::shared_ptr<FaultyConnection> connection, std::uint64_t id, std::string fields,
@@ -274,7 +274,9 @@
   if (strikes(FaultKind::answers_lost)) return;
   if (strikes(FaultKind::answers_trickle))
     return connection->trickle(answer, std::max<std::size_t>(1, answer.size() / 8), 0.03);
-  if (strikes(FaultKind::answers_spoilt)) return connection->write("*3\r\n$oops\r\n" + answer);
+  constexpr std::size_t kFieldsIndex = 2;
+  if (strikes(FaultKind::answers_spoilt))
+    return connection->write(spoil_message(answer, kFieldsIndex, random_));
   if (strikes(FaultKind::server_resets_midway)) {
     connection->write(std::string_view(answer).substr(0, answer.size() / 2));
     return connection->reset();
--- a/soak/oracle.cpp
+++ b/soak/oracle.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cmath>
 
+#include "base/hash.h"
 #include "base/text.h"
 #include "net/resp_parser.h"
 
@@ -13,11 +14,23 @@
 
 namespace {
 
-constexpr std::string_view kNames[kInvariantCount] = {
-    "answer_once",     "answer_in_time",      "effect_once",       "attempt_after_leave",
-    "deadline_passed", "drain_kept",          "slow_start",        "purge_kept",
-    "copy_named",      "refusal_harmless",    "attempt_after_end", "ends_in_time",
-    "stays_up",        "connections_bounded", "refused_bounded",   "guard"};
+constexpr std::string_view kNames[kInvariantCount] = {"answer_once",
+                                                      "answer_in_time",
+                                                      "effect_once",
+                                                      "attempt_after_leave",
+                                                      "deadline_passed",
+                                                      "drain_kept",
+                                                      "slow_start",
+                                                      "purge_kept",
+                                                      "copy_named",
+                                                      "refusal_harmless",
+                                                      "attempt_after_end",
+                                                      "body_unchanged",
+                                                      "ends_in_time",
+                                                      "stays_up",
+                                                      "connections_bounded",
+                                                      "refused_bounded",
+                                                      "guard"};
 
 constexpr Seconds kTimerSlack = 0.05;        // for every time limit that is observed on sockets
 constexpr Seconds kAnswerGrace = 0.5;        // after the request's limit
@@ -31,6 +44,15 @@
   return std::chrono::duration<Seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+std::string object_body(std::string_view item, std::string_view part) {
+  // Sizes range from 16 bytes to some tens of kilobytes.
+  const auto key = fmt::format("{}.{}", item, part);
+  const auto size = 16 + stable_hash(key) % 97 * (stable_hash(key) % 31 == 0 ? 600 : 20);
+  return key + "." + std::string(size, 'x');
+}
+
+std::string write_result(std::uint64_t id) { return fmt::format("done {:016x}", id); }
+
 std::string_view name_of(Invariant invariant) { return kNames[static_cast<int>(invariant)]; }
 
 void Oracle::report_violation(Invariant invariant, int router, std::uint64_t request,
@@ -99,7 +121,7 @@
   ++counts_.served;
   latencies_.push_back(r.answered_at - request.sent);
   if (request.effect != Idempotency::idempotent) {
-    if (r.attempts.empty() || !body.starts_with("done"))
+    if (r.attempts.empty() || body != write_result(id))
       report_violation(Invariant::answer_once, request.router, id,
                        "served, but no server produced this answer");
     return;
@@ -110,9 +132,9 @@
         std::ranges::none_of(r.attempts, [&](const Attempt& a) { return a.confirmed_etag == request.etag; }))
       report_violation(Invariant::copy_named, request.router, id,
                        "not modified, but no server confirmed the entity tag");
-  } else if (!body.starts_with(fmt::format("{}.{}.", request.item, request.part))) {
-    report_violation(Invariant::answer_once, request.router, id,
-                     fmt::format("body of another object: {}", body.substr(0, 24)));
+  } else if (body != object_body(request.item, std::to_string(request.part))) {
+    report_violation(Invariant::body_unchanged, request.router, id,
+                     fmt::format("{} bytes that no server sent for it: {}", body.size(), body.substr(0, 24)));
   }
   check_purges(r);
 }
@@ -183,6 +205,14 @@
                                unix_now() - r.request.sent, r.attempts.size()));
 }
 
+void Oracle::record_write(int server, std::string_view body) {
+  ++counts_.checked[static_cast<int>(Invariant::body_unchanged)];
+  if (body == kWriteBody) return;
+  report_violation(Invariant::body_unchanged, -1, 0,
+                   fmt::format("server {} was sent a write with {} bytes in place of {}", server, body.size(),
+                               kWriteBody.size()));
+}
+
 std::size_t Oracle::record_attempt(std::uint64_t id, const Attempt& attempt) {
   ++counts_.attempts;
   const auto it = records_.find(id);
--- a/soak/oracle.h
+++ b/soak/oracle.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +31,7 @@
   copy_named,
   refusal_harmless,
   attempt_after_end,
+  body_unchanged,
   ends_in_time,
   stays_up,
   connections_bounded,
@@ -40,6 +42,12 @@
 constexpr int kInvariantCount = static_cast<int>(Invariant::count);
 std::string_view name_of(Invariant invariant);
 
+// The body that every write of a client has, with line ends so that a part of it can pass for the whole.
+constexpr std::string_view kWriteBody = "some\r\nbytes\r\n";
+// The body of a part of an object, and what a server answers to a write: fixed, so that they can be compared.
+std::string object_body(std::string_view item, std::string_view part);
+std::string write_result(std::uint64_t id);
+
 enum class Idempotency { idempotent, with_key, non_idempotent };
 
 // Values from the settings that the checks use, with the grace periods of the platform's protocol.
@@ -95,6 +103,7 @@
 
   // Servers. record_attempt() returns the attempt's number for finish_attempt().
   std::size_t record_attempt(std::uint64_t id, const Attempt& attempt);
+  void record_write(int server, std::string_view body);  // of any client, judged or not
   void finish_attempt(std::uint64_t id, std::size_t number, bool ran, Seconds copy_created,
                       std::string_view confirmed_etag);
   void record_server_start(int server, Seconds at) { server_starts_[server] = at; }
