Answers: a large one with a wrong length is not taken before the bytes behind it are read

A large answer whose length was too small (at a line end) or took in the start of the next answer still reached its client as served. Cause: behind its first 4 KB, an answer is read by just the bytes that its lengths announce, so the buffer ended with it, and the check of the bytes behind it found none, although they were waiting in the kernel. Change: an answer that ends with the buffer is taken once the kernel has nothing more, or more was read. Clients' messages were not concerned: their connection is read until nothing more is there before a request starts; a test says so.

--- a/src/net/endpoint_answer.h
+++ b/src/net/endpoint_answer.h
@@ -25,8 +25,8 @@
   std::string_view etag;                           ///< ETag of the copy; empty if not reported
   std::string_view fields;                         ///< the whole list of fields
   AnswerReport report;                             ///< reported measurements
-  std::optional<std::vector<std::uint64_t>>
-      tags;               ///< stable hashes of the copy's tags; nullopt: not reported
+  /// Stable hashes of the copy's tags; nullopt if not reported.
+  std::optional<std::vector<std::uint64_t>> tags;
   std::string_view body;  ///< empty if there is none
 };
 
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -210,7 +210,8 @@
     for (;;) {
       read_resp_array(stream_.in(), kMaxWords, kMaxBytes, answer);
       if (answer.used == 0) return true;
-      // Otherwise a length or the number of strings in this answer was wrong, and it may lack a part.
+      // What follows an answer tells whether its lengths were right. Reads may end with the answer.
+      if (answer.used == stream_.in().size() && stream_.has_input()) return true;
       if (!may_begin_resp_array(stream_.in().substr(answer.used)))
         throw_bad_value("bytes behind an answer", stream_.in().substr(answer.used));
       take_answer(answer.words, listener);
--- a/tests/spoilt_messages.cpp
+++ b/tests/spoilt_messages.cpp
@@ -191,6 +191,35 @@
   });
 }
 
+// The last read of a large message takes just the bytes that its lengths announce.
+TEST_CASE("given a large answer with a wrong length and bytes behind it, then its attempt fails") {
+  AnswerFixture s;
+  BufferBudget::Reservation other(s.outbox.budget(), [] {});
+  other.request(s.outbox.budget().free_bytes() * 3 / 4);  // memory is short, so reads are small
+  s.run_scenario([&]() -> Task {
+    const std::string head(15'000, 'x');
+    const std::string body = head + "\r\n" + std::string(5'000, 'x');
+    const auto next_answer = s.answer(9, "served", "etag=v9", "other");
+    const std::string start_of_next = "\r\n*4";
+    for (const auto length : {head.size(), body.size() + start_of_next.size(), body.size()}) {
+      const auto attempt = s.start_attempt(s.endpoint, 1);
+      Fd server;
+      WAIT_UNTIL(server = s.listener.accept());
+      WAIT_UNTIL(read_available(server).find("serve") != std::string::npos);
+      const std::vector<std::string> words = {request_id(1), "served", "etag=v1", body};
+      send_all(server,
+               encode(4, words, {words[0].size(), words[1].size(), words[2].size(), length}) + next_answer);
+      END_OF(*attempt);
+      INFO(length << " bytes");
+      const bool is_sound = length == body.size();
+      CHECK(attempt->result().outcome ==
+            (is_sound ? AttemptOutcome::served : AttemptOutcome::connection_broken));
+      if (is_sound) CHECK(attempt->result().body == body);
+    }
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given sound answers, also twice or behind one to an unknown id, then their attempts are served") {
   AnswerFixture s;
   s.run_scenario([&]() -> Task {
@@ -252,6 +281,30 @@
   });
 }
 
+TEST_CASE("given a large write with a wrong length and a message behind it, then it is not started") {
+  WriteFixture s;
+  BufferBudget::Reservation other(s.outbox.budget(), [] {});
+  other.request(s.outbox.budget().free_bytes() * 3 / 4);  // memory is short, so reads are small
+  s.run_scenario([&]() -> Task {
+    const std::string head(15'000, 's');
+    const std::string body = head + "\r\n" + std::string(5'000, 's');
+    const auto next_message = resp_array_text({"ALIVE", "2", ""});
+    const std::string start_of_next = "\r\n*3";
+    for (const auto length : {head.size(), body.size() + start_of_next.size(), body.size()}) {
+      const auto words = s.words("order", body);
+      const Fd client = s.connect();
+      send_all(client, encode(5, words, {4, 1, 5, words[3].size(), length}) + next_message);
+      std::string got;
+      WAIT_UNTIL(!(got += read_available(client)).empty());
+      INFO(length << " bytes: " << got);
+      const bool is_sound = length == body.size();
+      CHECK(s.started.size() == (is_sound ? 1 : 0));
+      CHECK((got.find("RESULT") != std::string::npos) == is_sound);
+    }
+    s.scheduler.stop();
+  });
+}
+
 TEST_CASE("given a request that was started, when its length proves wrong, then it is abandoned and fails") {
   WriteFixture s;
   const auto config = config::parse_platform_config(platform_config_json("n0", 1, 0, "", "{}"));
